--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,8 @@
+//! What is kept in the state service, how its keys and values look, and the replica every
+//! controller holds of it.
+
+pub mod replica;
+pub mod schema;
+
+pub use replica::{Change, Replica};
+pub use schema::{Key, MachineRecord, Outcome, RunChunk, Seat, SeatRecord, StartRecord};
--- /dev/null
+++ b/src/bookkeeping/schema.rs
@@ -0,0 +1,190 @@
+//! Keys and values. Value field names are short: values are bounded and so are writes.
+
+use crate::protocol::user::JobSpec;
+use crate::units::{JobId, MachineId, Micros, Term};
+use ciborium::Value;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Everything lives below this prefix, so that one watch sees all of it in one order.
+pub const ROOT: &str = "bh/";
+
+/// Tasks per run chunk. Bounds the size of one value: 64 starts are below 4 KB.
+pub const CHUNK_TASKS: u32 = 64;
+
+/// A right that one controller holds at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Seat {
+    Leader,
+    Share(u32),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Key {
+    Term,
+    Seat(Seat),
+    Node(String),
+    Machine(MachineId),
+    Job(JobId),
+    Run(JobId, u32),
+    End(JobId),
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Key::Term => write!(f, "{ROOT}term"),
+            Key::Seat(Seat::Leader) => write!(f, "{ROOT}leader"),
+            Key::Seat(Seat::Share(k)) => write!(f, "{ROOT}share/{k}"),
+            Key::Node(label) => write!(f, "{ROOT}node/{label}"),
+            Key::Machine(id) => write!(f, "{ROOT}machine/{id}"),
+            Key::Job(id) => write!(f, "{ROOT}job/{id}"),
+            Key::Run(id, chunk) => write!(f, "{ROOT}run/{id}/{chunk}"),
+            Key::End(id) => write!(f, "{ROOT}end/{id}"),
+        }
+    }
+}
+
+impl Key {
+    pub fn parse(text: &str) -> Option<Key> {
+        let rest = text.strip_prefix(ROOT)?;
+        match rest.split_once('/') {
+            None if rest == "term" => Some(Key::Term),
+            None if rest == "leader" => Some(Key::Seat(Seat::Leader)),
+            Some(("share", k)) => Some(Key::Seat(Seat::Share(k.parse().ok()?))),
+            Some(("node", label)) => Some(Key::Node(label.to_string())),
+            Some(("machine", id)) => Some(Key::Machine(MachineId::new(id))),
+            Some(("job", id)) => Some(Key::Job(JobId::new(id))),
+            Some(("end", id)) => Some(Key::End(JobId::new(id))),
+            Some(("run", rest)) => {
+                let (id, chunk) = rest.rsplit_once('/')?;
+                Some(Key::Run(JobId::new(id), chunk.parse().ok()?))
+            }
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatRecord {
+    #[serde(rename = "o")]
+    pub owner: String,
+    /// Distinguishes the owner's process from earlier ones under the same label.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    #[serde(rename = "t")]
+    pub term: Term,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    #[serde(rename = "s")]
+    pub share: u32,
+    /// Orders to this machine carry this or the share's term, whichever is higher.
+    #[serde(rename = "t")]
+    pub term: Term,
+    #[serde(rename = "h")]
+    pub machine_type: String,
+    #[serde(rename = "z")]
+    pub zone: String,
+    #[serde(rename = "d")]
+    pub spot: bool,
+    #[serde(rename = "a")]
+    pub addr: String,
+    /// Nothing may be started there any more.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub hold: Option<Hold>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Hold {
+    /// To be given to another share as soon as nothing is recorded on it.
+    #[serde(rename = "m")]
+    Move(u32),
+    /// To be returned as soon as nothing is recorded on it.
+    #[serde(rename = "r")]
+    Retire,
+    /// To be deleted with whatever may be on it.
+    #[serde(rename = "k")]
+    Doomed,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Time of day at which the job was accepted.
+    #[serde(rename = "at")]
+    pub accepted: Micros,
+    #[serde(flatten)]
+    pub spec: JobSpec,
+}
+
+/// One recorded start: task, attempt, machine, session of the machine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartRecord(pub u32, pub u64, pub MachineId, pub u64);
+
+/// Progress of up to [`CHUNK_TASKS`] tasks of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunChunk {
+    /// Highest attempt number given out so far.
+    #[serde(rename = "a")]
+    pub attempts: u64,
+    /// Tasks done, as inclusive ranges.
+    #[serde(rename = "d", default)]
+    pub done: Vec<(u32, u32)>,
+    /// Starts not yet proven gone.
+    #[serde(rename = "s", default)]
+    pub starts: Vec<StartRecord>,
+    /// Names the write, so that its writer recognises it after an answer was lost.
+    #[serde(rename = "w")]
+    pub writer: u64,
+}
+
+impl RunChunk {
+    pub fn is_done(&self, task: u32) -> bool {
+        self.done.iter().any(|&(a, b)| a <= task && task <= b)
+    }
+
+    pub fn done_count(&self) -> u32 {
+        self.done.iter().map(|&(a, b)| b - a + 1).sum()
+    }
+
+    pub fn mark_done(&mut self, task: u32) {
+        if self.is_done(task) {
+            return;
+        }
+        self.done.push((task, task));
+        self.done.sort_unstable();
+        let mut merged: Vec<(u32, u32)> = Vec::with_capacity(self.done.len());
+        for &(a, b) in &self.done {
+            match merged.last_mut() {
+                Some(last) if last.1 + 1 == a => last.1 = b,
+                _ => merged.push((a, b)),
+            }
+        }
+        self.done = merged;
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "cancelled")]
+    Cancelled,
+}
+
+pub fn to_value<T: Serialize>(value: &T) -> Value {
+    // Our records hold text keys and plain numbers only, which always convert.
+    Value::serialized(value).unwrap_or(Value::Null)
+}
+
+pub fn from_value<T: DeserializeOwned>(value: &Value) -> Option<T> {
+    value.deserialized().ok()
+}
--- /dev/null
+++ b/src/coordination/leader.rs
@@ -0,0 +1,736 @@
+//! The leader's work: takes machines into the books, shifts free ones between shares, rents and
+//! returns.
+//!
+//! A machine changes hands in two writes. The first puts it on hold: starts are recorded under
+//! the condition that its record is unchanged, so once the replica has reached that revision it
+//! shows every start there can be. Only with none left does the second write follow.
+
+use super::jobs::Job;
+use super::txns::{Draft, Purpose};
+use super::{CloudCall, CloudOutcome, Core, Effect, TypeInfo};
+use crate::bookkeeping::schema::{Hold, Key, MachineRecord, Seat, to_value};
+use crate::protocol::cloud::{ListedMachine, ListedState, Rental};
+use crate::protocol::user::{JobSpec, Kind, Priority};
+use crate::units::{MachineId, Micros, Room, Term};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A machine rented or listed that has no record yet.
+#[derive(Clone, Debug)]
+struct Boot {
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    since: Micros,
+    last_listed: Micros,
+}
+
+#[derive(Clone, Debug)]
+enum Call {
+    Types,
+    List,
+    Rent(Rental, u32),
+    Delete(Vec<MachineId>),
+}
+
+/// A kind of machine as the cloud rents it out: type, zone, spot or not.
+type Offer = (String, String, bool);
+
+#[derive(Default)]
+pub(super) struct Leader {
+    calls: BTreeMap<u64, Call>,
+    /// Calls to be made again, with what they were.
+    again: Vec<(Micros, Call)>,
+    page: Vec<ListedMachine>,
+    next_list: Micros,
+    listing: bool,
+    listed_once: bool,
+    boots: BTreeMap<MachineId, Boot>,
+    refused: HashMap<Offer, Micros>,
+    pub deleting: BTreeSet<MachineId>,
+    /// Machines whose deletion was confirmed; late reports of theirs count for nothing.
+    deleted: BTreeMap<MachineId, Micros>,
+    next_plan: Micros,
+    /// Cpus (in millionths) each share lacked in the last plan.
+    need: BTreeMap<u32, u64>,
+    charters: u64,
+}
+
+/// A machine's room in the plan.
+struct Slot {
+    id: Option<MachineId>,
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    free: Room,
+    untouched: bool,
+}
+
+/// Tasks that found no room in the plan.
+#[derive(Clone)]
+struct Unmet {
+    share: u32,
+    spec: JobSpec,
+    count: u64,
+}
+
+const PLAN_EVERY: Micros = Micros::from_millis(500);
+const LIST_EVERY: Micros = Micros::from_millis(2500);
+const TYPES_EVERY: Micros = Micros::from_millis(60_000);
+
+impl Core {
+    fn cloud(&mut self, call: Call) {
+        let request = match &call {
+            Call::Types => CloudCall::Types,
+            Call::List => CloudCall::List { after: self.leader.page.last().map(|m| m.id.clone()) },
+            Call::Rent(rental, _) => CloudCall::Rent(rental.clone()),
+            Call::Delete(ids) => CloudCall::Delete(ids.clone()),
+        };
+        let number = self.next_call;
+        self.next_call += 1;
+        self.leader.calls.insert(number, call);
+        self.out.push(Effect::Cloud { call: number, request });
+    }
+
+    pub(super) fn tick_types(&mut self) {
+        let now = self.now();
+        let due = if self.types.is_empty() { Micros::from_millis(1000) } else { TYPES_EVERY };
+        if self.types_asked == Micros::ZERO || now.since(self.types_asked) >= due {
+            self.types_asked = now.max(Micros(1));
+            self.cloud(Call::Types);
+        }
+    }
+
+    pub(super) fn leader_changed(&mut self) {
+        if self.is_leader() {
+            self.leader.listed_once = false;
+            self.leader.next_list = self.now();
+            self.leader.boots.clear();
+            self.leader.deleting.clear();
+            self.leader.next_plan = self.now() + PLAN_EVERY;
+        }
+    }
+
+    pub(super) fn cloud_outcome(&mut self, number: u64, outcome: CloudOutcome) {
+        let Some(call) = self.leader.calls.remove(&number) else { return };
+        let now = self.now();
+        match (call, outcome) {
+            (Call::Types, CloudOutcome::Types(types)) => {
+                self.types = types
+                    .types
+                    .into_iter()
+                    .map(|t| {
+                        let room = Room::new(t.cpus, t.gpus, t.memory_gb);
+                        (t.name.clone(), TypeInfo { wire: t, room })
+                    })
+                    .collect();
+                self.pass_wanted = true;
+            }
+            (Call::Types, _) => {}
+            (Call::List, CloudOutcome::List(list)) => {
+                self.leader.listing = false;
+                let more = list.more && !list.machines.is_empty();
+                self.leader.page.extend(list.machines);
+                if more && self.is_leader() {
+                    self.leader.listing = true;
+                    self.cloud(Call::List);
+                } else {
+                    let machines = std::mem::take(&mut self.leader.page);
+                    self.take_list(machines);
+                }
+            }
+            (Call::List, _) => {
+                self.leader.listing = false;
+                self.leader.page.clear();
+            }
+            (Call::Rent(rental, _), CloudOutcome::Rented(names)) => {
+                let offer = (rental.machine_type.clone(), rental.zone.clone(), rental.spot);
+                tracing::info!(offer = ?offer, asked = rental.count, got = names.machines.len(), "rented");
+                if (names.machines.len() as u32) < rental.count {
+                    self.refuse(offer, now);
+                }
+                for id in names.machines {
+                    if !self.replica.machines.contains_key(&id) {
+                        let boot = Boot {
+                            machine_type: rental.machine_type.clone(),
+                            zone: rental.zone.clone(),
+                            spot: rental.spot,
+                            since: now,
+                            last_listed: now,
+                        };
+                        self.leader.boots.entry(id).or_insert(boot);
+                    }
+                }
+            }
+            (Call::Rent(rental, _), CloudOutcome::NoCapacity) => {
+                let offer = (rental.machine_type, rental.zone, rental.spot);
+                tracing::info!(offer = ?offer, "no capacity");
+                self.refuse(offer, now);
+            }
+            (Call::Rent(rental, tries), _) => {
+                // It may have been carried out: the same name again tells what it brought.
+                if tries < 8 {
+                    self.leader.again.push((now + Micros::from_millis(1000), Call::Rent(rental, tries + 1)));
+                }
+            }
+            (Call::Delete(ids), CloudOutcome::Deleted) => {
+                let mut booked = Vec::new();
+                for id in ids {
+                    tracing::info!(machine = %id, "machine deleted");
+                    self.leader.boots.remove(&id);
+                    self.leader.deleted.insert(id.clone(), now);
+                    if self.replica.machines.contains_key(&id) {
+                        booked.push(id);
+                    } else {
+                        self.leader.deleting.remove(&id);
+                    }
+                }
+                self.strike_out(booked);
+            }
+            (Call::Delete(ids), _) => self.leader.again.push((now + Micros::from_millis(500), Call::Delete(ids))),
+        }
+    }
+
+    /// Takes deleted machines out of the books, which proves to their shares that nothing is left
+    /// on them.
+    fn strike_out(&mut self, ids: Vec<MachineId>) {
+        let most = self.platform.deployment.state.txn_ops;
+        for ids in ids.chunks(most) {
+            let mut draft = Draft::default();
+            for id in ids {
+                draft.unchanged(&self.replica, Key::Machine(id.clone()));
+                draft.delete(Key::Machine(id.clone()));
+            }
+            self.submit_txn(draft, Purpose::Machines(ids.to_vec()));
+        }
+    }
+
+    fn refuse(&mut self, offer: Offer, now: Micros) {
+        let until = now + Micros::from_millis(self.policy.refused_pause_ms);
+        self.leader.refused.insert(offer, until);
+        self.leader.next_plan = now;
+    }
+
+    fn take_list(&mut self, machines: Vec<ListedMachine>) {
+        let now = self.now();
+        self.leader.listed_once = true;
+        let mut failed = Vec::new();
+        for machine in machines {
+            let id = machine.id.clone();
+            if machine.state == ListedState::Failed {
+                if self.replica.machines.contains_key(&id) {
+                    self.set_hold_of(&id, Hold::Doomed);
+                } else {
+                    failed.push(id);
+                }
+                continue;
+            }
+            if self.replica.machines.contains_key(&id) || self.leader.deleted.contains_key(&id) {
+                continue;
+            }
+            let boot = self.leader.boots.entry(id).or_insert_with(|| Boot {
+                machine_type: machine.machine_type,
+                zone: machine.zone,
+                spot: machine.spot,
+                since: now - Micros::from_secs_f64(machine.age_s),
+                last_listed: now,
+            });
+            boot.last_listed = now;
+        }
+        self.delete(failed);
+    }
+
+    fn set_hold_of(&mut self, id: &MachineId, hold: Hold) {
+        self.machines.entry(id.clone()).or_default();
+        self.set_hold(id, hold);
+    }
+
+    fn delete(&mut self, ids: Vec<MachineId>) {
+        let ids: Vec<MachineId> = ids.into_iter().filter(|id| self.leader.deleting.insert(id.clone())).collect();
+        for part in ids.chunks(100) {
+            self.cloud(Call::Delete(part.to_vec()));
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        let now = self.now();
+        if !self.is_leader() {
+            self.leader.again.clear();
+            return;
+        }
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.leader.again).into_iter().partition(|(at, _)| *at <= now);
+        self.leader.again = later;
+        for (_, call) in due {
+            self.cloud(call);
+        }
+        if !self.leader.listing && now >= self.leader.next_list {
+            self.leader.listing = true;
+            self.leader.next_list = now + LIST_EVERY;
+            self.cloud(Call::List);
+        }
+        self.leader.deleted.retain(|_, at| now.since(*at) < Micros::from_millis(600_000));
+        self.adopt();
+        self.settle_holds();
+        self.give_up_boots();
+        if now >= self.leader.next_plan && self.leader.listed_once && !self.types.is_empty() {
+            self.leader.next_plan = now + PLAN_EVERY;
+            self.plan();
+        }
+    }
+
+    /// Machines that report and have no record get one, in the share that needs them most.
+    fn adopt(&mut self) {
+        let mut draft = Draft::default();
+        let mut ids = Vec::new();
+        let mut refused = Vec::new();
+        let reports: Vec<_> = self.unbooked.iter().map(|(_, _, r)| r.clone()).collect();
+        for report in reports {
+            let id = report.machine.clone();
+            if self.replica.machines.contains_key(&id) || ids.contains(&id) {
+                continue;
+            }
+            if self.leader.deleting.contains(&id) || self.leader.deleted.contains_key(&id) {
+                // It reports after its deletion: an old report, or the deletion missed it.
+                refused.push(id);
+                continue;
+            }
+            if ids.len() >= self.platform.deployment.state.txn_ops {
+                break;
+            }
+            let share = self.neediest_share(&report.machine_type);
+            let record = MachineRecord {
+                share,
+                term: Term(0),
+                machine_type: report.machine_type.clone(),
+                zone: report.zone.clone(),
+                spot: report.spot,
+                addr: report.addr.clone().unwrap_or_default(),
+                hold: None,
+            };
+            let entry = self.machines.entry(id.clone()).or_default();
+            if entry.adopting {
+                continue;
+            }
+            entry.adopting = true;
+            draft.unchanged(&self.replica, Key::Seat(Seat::Leader));
+            draft.unchanged(&self.replica, Key::Machine(id.clone()));
+            draft.put(Key::Machine(id.clone()), to_value(&record));
+            self.leader.boots.remove(&id);
+            ids.push(id);
+        }
+        if !ids.is_empty() {
+            self.submit_txn(draft, Purpose::Machines(ids));
+        }
+        self.unbooked.retain(|(_, waiter, report)| {
+            let keep = !refused.contains(&report.machine);
+            if !keep {
+                self.out.push(Effect::AnswerWorker(*waiter, super::WorkerAnswer::Unavailable));
+            }
+            keep
+        });
+    }
+
+    /// The share with the most unmet need, else the one with the least room for its teams.
+    fn neediest_share(&mut self, machine_type: &str) -> u32 {
+        let cpus = self.types.get(machine_type).map_or(1_000_000, |t| t.room.cpus);
+        if let Some((&share, _)) = self.leader.need.iter().filter(|(_, n)| **n > 0).max_by_key(|(_, n)| **n) {
+            if let Some(need) = self.leader.need.get_mut(&share) {
+                *need = need.saturating_sub(cpus);
+            }
+            return share;
+        }
+        let shares = self.shares();
+        let mut teams = vec![0u64; shares as usize];
+        for i in 0..self.platform.deployment.teams.len() {
+            teams[i % shares as usize] += 1;
+        }
+        if teams.iter().all(|n| *n == 0) {
+            teams.fill(1);
+        }
+        let mut have = vec![0u64; shares as usize];
+        for record in self.replica.machines.values() {
+            if let Some(sum) = have.get_mut(record.value.share as usize) {
+                *sum += self.types.get(&record.value.machine_type).map_or(1_000_000, |t| t.room.cpus);
+            }
+        }
+        (0..shares)
+            .filter(|s| teams[*s as usize] > 0)
+            .min_by_key(|s| (have[*s as usize] + cpus) / teams[*s as usize])
+            .unwrap_or(0)
+    }
+
+    /// Machines on hold with nothing recorded on them go where they were meant to.
+    fn settle_holds(&mut self) {
+        let mut gone = Vec::new();
+        let mut moves = Vec::new();
+        let mut taken = Vec::new();
+        for (id, held) in &self.replica.machines {
+            let Some(hold) = held.value.hold else { continue };
+            if self.leader.deleting.contains(id) {
+                continue;
+            }
+            // Every start there can be is visible from the hold's revision on.
+            let visible = self.replica.applied.0 >= held.version;
+            let empty = visible && self.machines.get(id).is_none_or(|m| m.starts.is_empty());
+            match hold {
+                Hold::Doomed => gone.push(id.clone()),
+                Hold::Retire if empty => gone.push(id.clone()),
+                Hold::Move(to) if empty => moves.push((id.clone(), to)),
+                // Its owner was faster; it may keep it.
+                Hold::Move(_) if visible => taken.push(id.clone()),
+                Hold::Retire | Hold::Move(_) => {}
+            }
+        }
+        self.delete(gone);
+        for id in taken {
+            self.write_machine(&id, |record| record.hold = None);
+        }
+        moves.retain(|(id, _)| self.machines.get(id).is_none_or(|m| !m.writing));
+        moves.truncate(self.platform.deployment.state.txn_ops - 1);
+        if moves.is_empty() {
+            return;
+        }
+        let term = Term(self.replica.term_now().0 + 1);
+        let mut draft = Draft::default();
+        draft.unchanged(&self.replica, Key::Term);
+        draft.unchanged(&self.replica, Key::Seat(Seat::Leader));
+        draft.put(Key::Term, to_value(&term));
+        let mut ids = Vec::new();
+        for (id, to) in moves {
+            let Some(held) = self.replica.machines.get(&id) else { continue };
+            let record = MachineRecord { share: to, term, hold: None, ..held.value.clone() };
+            draft.unchanged(&self.replica, Key::Machine(id.clone()));
+            draft.put(Key::Machine(id.clone()), to_value(&record));
+            self.machines.entry(id.clone()).or_default().writing = true;
+            ids.push(id);
+        }
+        self.submit_txn(draft, Purpose::Machines(ids));
+    }
+
+    fn give_up_boots(&mut self) {
+        let now = self.now();
+        let lag = Micros::from_secs_f64(self.platform.deployment.cloud.list_lag_s * 2.0 + 5.0);
+        let patience = self.policy.boot_patience;
+        let mut late = Vec::new();
+        let (types, booked) = (&self.types, &self.replica.machines);
+        self.leader.boots.retain(|id, boot| {
+            let usual = types.get(&boot.machine_type).map_or(60.0, |t| t.wire.boot_s);
+            if now.since(boot.since) > Micros::from_secs_f64(usual * patience) {
+                late.push(id.clone());
+            }
+            !booked.contains_key(id) && now.since(boot.last_listed) < lag
+        });
+        for id in &late {
+            tracing::info!(machine = %id, "did not come up, given up");
+        }
+        self.delete(late);
+    }
+
+    fn plan(&mut self) {
+        let mut unmet: Vec<Unmet> = Vec::new();
+        let mut slots: BTreeMap<u32, Vec<Slot>> = BTreeMap::new();
+        for share in 0..self.shares() {
+            let mut own = self.slots_of(share);
+            self.fill(share, &mut own, &mut unmet);
+            slots.insert(share, own);
+        }
+        self.leader.need = BTreeMap::new();
+        for u in &unmet {
+            *self.leader.need.entry(u.share).or_default() += u.spec.room().cpus * u.count;
+        }
+        self.shift(&mut slots, &mut unmet);
+        let mut boots = self.boot_slots();
+        for u in &mut unmet {
+            u.count -= fit(&u.spec, u.count, &mut boots, &mut BTreeMap::new());
+        }
+        unmet.retain(|u| u.count > 0);
+        self.rent_for(&unmet);
+        self.return_idle(&slots, &unmet);
+    }
+
+    fn slots_of(&self, share: u32) -> Vec<Slot> {
+        self.replica
+            .machines
+            .iter()
+            .filter(|(_, r)| r.value.share == share && r.value.hold.is_none())
+            .map(|(id, r)| {
+                let free = self.free_room(id);
+                Slot {
+                    id: Some(id.clone()),
+                    machine_type: r.value.machine_type.clone(),
+                    zone: r.value.zone.clone(),
+                    spot: r.value.spot,
+                    free,
+                    untouched: free == self.machine_room(id),
+                }
+            })
+            .collect()
+    }
+
+    fn boot_slots(&self) -> Vec<Slot> {
+        self.leader
+            .boots
+            .values()
+            .map(|b| Slot {
+                id: None,
+                machine_type: b.machine_type.clone(),
+                zone: b.zone.clone(),
+                spot: b.spot,
+                free: self.types.get(&b.machine_type).map(|t| t.room).unwrap_or_default(),
+                untouched: true,
+            })
+            .collect()
+    }
+
+    /// Fits the waiting tasks of a share into its machines and notes what is left over, as far as
+    /// that is worth machines of its own.
+    fn fill(&self, share: u32, slots: &mut [Slot], unmet: &mut Vec<Unmet>) {
+        let mut jobs: Vec<&Job> =
+            self.jobs.values().filter(|j| j.share == share && j.recorded && j.over.is_none()).collect();
+        jobs.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.accepted));
+        let mut batch: Vec<Unmet> = Vec::new();
+        let mut backlog = 0.0;
+        let mut used: HashMap<&str, Room> = HashMap::new();
+        for job in &jobs {
+            if let Some(team) = &job.spec.team {
+                let n = job.live.values().filter(|l| l.phase.occupies()).count() as u64;
+                let sum = used.entry(team).or_default();
+                *sum = sum.plus(&job.room.times(n));
+            }
+        }
+        for job in &jobs {
+            let mut count = u64::from(job.waiting());
+            if let Some(team) = job.spec.team.as_deref() {
+                let sum = used.entry(team).or_default();
+                count = count.min(self.within_limit_count(team, sum, &job.room));
+                *sum = sum.plus(&job.room.times(count));
+            }
+            if count == 0 {
+                continue;
+            }
+            let mut zones = BTreeMap::new();
+            for live in job.live.values().filter(|l| l.phase.occupies()) {
+                if let Some(r) = self.replica.machines.get(&live.machine) {
+                    *zones.entry(r.value.zone.clone()).or_default() += 1;
+                }
+            }
+            let placed = fit(&job.spec, count, slots, &mut zones);
+            let left = count - placed;
+            if left == 0 {
+                continue;
+            }
+            let rest = Unmet { share, spec: (*job.spec).clone(), count: left };
+            if job.spec.kind == Kind::Array {
+                backlog += left as f64 * job.spec.cpus * job.spec.estimate_s.max(5.0);
+                batch.push(rest);
+            } else {
+                unmet.push(rest);
+            }
+        }
+        self.add_spare(&jobs, share, slots, unmet);
+        // Batch work may queue as long as what the share has works it off in time.
+        let drain = Micros::from_millis(self.policy.drain_ms).secs();
+        let running: f64 = jobs
+            .iter()
+            .filter(|j| j.spec.kind == Kind::Array)
+            .map(|j| j.spec.cpus * j.live.values().filter(|l| l.phase.occupies()).count() as f64)
+            .sum();
+        let mut wanted = backlog / drain - running;
+        for mut rest in batch {
+            if wanted <= 0.0 {
+                break;
+            }
+            rest.count = rest.count.min((wanted / rest.spec.cpus.max(0.01)).ceil() as u64);
+            wanted -= rest.count as f64 * rest.spec.cpus;
+            unmet.push(rest);
+        }
+    }
+
+    fn within_limit_count(&self, team: &str, used: &Room, each: &Room) -> u64 {
+        let Some(team) = self.platform.deployment.teams.iter().find(|t| t.name == team) else { return u64::MAX };
+        let limit = Room::new(team.cpus_max, team.gpus_max, 0.0);
+        let by = |limit: u64, used: u64, each: u64| {
+            if limit == 0 || each == 0 { u64::MAX } else { limit.saturating_sub(used) / each }
+        };
+        by(limit.cpus, used.cpus, each.cpus).min(by(limit.gpus, used.gpus, each.gpus))
+    }
+
+    /// Room for a few more of the largest services, so that the next one starts at once.
+    fn add_spare(&self, jobs: &[&Job], share: u32, slots: &mut [Slot], unmet: &mut Vec<Unmet>) {
+        let services = jobs.iter().filter(|j| j.spec.kind == Kind::Service);
+        let Some(largest) = services.max_by_key(|j| j.room.cpus) else { return };
+        // Lower work running there can make way as well.
+        let preemptible = jobs
+            .iter()
+            .filter(|j| j.spec.kind == Kind::Array && j.spec.priority < Priority::High)
+            .map(|j| j.room.cpus * j.live.values().filter(|l| l.phase.occupies()).count() as u64)
+            .sum::<u64>()
+            / largest.room.cpus.max(1);
+        let count = u64::from(self.policy.spare_tasks).saturating_sub(preemptible / 2);
+        let mut spec = (*largest.spec).clone();
+        spec.spread = false;
+        spec.one_zone = false;
+        let left = count - fit(&spec, count, slots, &mut BTreeMap::new());
+        if left > 0 {
+            unmet.push(Unmet { share, spec, count: left });
+        }
+    }
+
+    /// Machines a share doesn't need go to shares whose tasks wait.
+    fn shift(&mut self, slots: &mut BTreeMap<u32, Vec<Slot>>, unmet: &mut [Unmet]) {
+        let mut moves = Vec::new();
+        for u in unmet.iter_mut() {
+            for (from, own) in slots.iter_mut().filter(|(s, _)| **s != u.share) {
+                for slot in own.iter_mut().filter(|s| s.untouched) {
+                    if u.count == 0 {
+                        break;
+                    }
+                    let taken = fit(&u.spec, u.count, std::slice::from_mut(slot), &mut BTreeMap::new());
+                    if taken > 0 {
+                        u.count -= taken;
+                        slot.untouched = false;
+                        moves.push((slot.id.clone(), *from, u.share));
+                    }
+                }
+            }
+        }
+        for (id, from, to) in moves {
+            if let Some(id) = id {
+                tracing::debug!(machine = %id, from, to, "shifting");
+                self.set_hold_of(&id, Hold::Move(to));
+            }
+        }
+    }
+
+    fn rent_for(&mut self, unmet: &[Unmet]) {
+        let now = self.now();
+        let in_flight = self.leader.calls.values().chain(self.leader.again.iter().map(|(_, c)| c));
+        // Until the answer is here it isn't known what is coming.
+        if in_flight.into_iter().any(|c| matches!(c, Call::Rent(..))) {
+            return;
+        }
+        self.leader.refused.retain(|_, until| *until > now);
+        let mut room_left = u64::from(self.policy.boots_max).saturating_sub(self.leader.boots.len() as u64);
+        let mut orders: BTreeMap<Offer, u32> = BTreeMap::new();
+        let mut fresh: Vec<Slot> = Vec::new();
+        for u in unmet {
+            let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut BTreeMap::new());
+            while count > 0 && room_left > 0 {
+                let Some((offer, room)) = self.cheapest(&u.spec, &orders) else { break };
+                let mut slot = Slot {
+                    id: None,
+                    machine_type: offer.0.clone(),
+                    zone: offer.1.clone(),
+                    spot: offer.2,
+                    free: room,
+                    untouched: true,
+                };
+                let taken = fit(&u.spec, count, std::slice::from_mut(&mut slot), &mut BTreeMap::new());
+                if taken == 0 {
+                    break;
+                }
+                count -= taken;
+                fresh.push(slot);
+                *orders.entry(offer).or_default() += 1;
+                room_left -= 1;
+            }
+        }
+        let term = self.held(Seat::Leader).unwrap_or_default();
+        for (offer, count) in orders {
+            self.leader.charters += 1;
+            // The term is this process's alone, so the name never comes again.
+            let request = format!("r-{}-{}", term.0, self.leader.charters);
+            let (machine_type, zone, spot) = offer;
+            let rental = Rental { request, machine_type, zone, spot, count: count.min(50) };
+            self.cloud(Call::Rent(rental, 0));
+        }
+    }
+
+    /// The offer with the lowest price for each task it can hold.
+    fn cheapest(&self, spec: &JobSpec, orders: &BTreeMap<Offer, u32>) -> Option<(Offer, Room)> {
+        let need = spec.room();
+        let mut best: Option<((u64, u64), Offer, Room)> = None;
+        for info in self.types.values() {
+            if spec.types.as_ref().is_some_and(|t| !t.contains(&info.wire.name)) || !need.fits_in(&info.room) {
+                continue;
+            }
+            let tasks = count_in(&need, &info.room).max(1);
+            for zone in info.wire.zones.iter().filter(|z| spec.zone.as_ref().is_none_or(|want| want == *z)) {
+                for spot in [false, true] {
+                    let offer = (info.wire.name.clone(), zone.clone(), spot);
+                    if (spot && !spec.spot) || self.leader.refused.contains_key(&offer) {
+                        continue;
+                    }
+                    let price = if spot { info.wire.spot_price.unwrap_or(info.wire.price) } else { info.wire.price };
+                    let cost = (price / tasks as f64 * 1e6) as u64;
+                    // Among equals the zone with the fewest machines.
+                    let here = self.replica.machines.values().filter(|m| m.value.zone == *zone).count() as u64
+                        + orders.iter().filter(|(o, _)| o.1 == *zone).map(|(_, n)| u64::from(*n)).sum::<u64>();
+                    if best.as_ref().is_none_or(|(b, ..)| (cost, here) < *b) {
+                        best = Some(((cost, here), offer, info.room));
+                    }
+                }
+            }
+        }
+        best.map(|(_, offer, room)| (offer, room))
+    }
+
+    /// Machines that nothing needs, and nothing has used for a while, are returned.
+    fn return_idle(&mut self, slots: &BTreeMap<u32, Vec<Slot>>, unmet: &[Unmet]) {
+        let now = self.now();
+        if !unmet.is_empty() {
+            return;
+        }
+        let idle = Micros::from_millis(self.policy.idle_return_ms);
+        let ids: Vec<MachineId> = slots
+            .values()
+            .flatten()
+            .filter(|s| s.untouched)
+            .filter_map(|s| s.id.clone())
+            .filter(|id| {
+                let free = self.machines.get(id).and_then(|m| m.free_since);
+                free.is_some_and(|since| now.since(since) >= idle)
+            })
+            .take(2)
+            .collect();
+        for id in ids {
+            self.set_hold_of(&id, Hold::Retire);
+        }
+    }
+}
+
+fn count_in(each: &Room, room: &Room) -> u64 {
+    let by = |each: u64, room: u64| if each == 0 { u64::MAX } else { room / each };
+    by(each.cpus, room.cpus).min(by(each.gpus, room.gpus)).min(by(each.memory, room.memory))
+}
+
+/// Puts up to `count` tasks into the slots, first fit, and says how many found room. `zones`
+/// counts the job's tasks by zone.
+fn fit(spec: &JobSpec, count: u64, slots: &mut [Slot], zones: &mut BTreeMap<String, u64>) -> u64 {
+    let each = spec.room();
+    let most = u64::from(spec.tasks.div_ceil(2));
+    let mut placed = 0;
+    for slot in slots.iter_mut() {
+        if placed == count {
+            break;
+        }
+        let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&slot.machine_type))
+            && spec.zone.as_ref().is_none_or(|z| *z == slot.zone)
+            && (spec.spot || !slot.spot)
+            && (!spec.one_zone || zones.keys().all(|z| *z == slot.zone));
+        if !allowed {
+            continue;
+        }
+        let mut n = count_in(&each, &slot.free).min(count - placed);
+        if spec.spread {
+            n = n.min(most.saturating_sub(zones.get(&slot.zone).copied().unwrap_or(0)));
+        }
+        if n > 0 {
+            slot.free = slot.free.minus(&each.times(n));
+            slot.untouched = false;
+            placed += n;
+            *zones.entry(slot.zone.clone()).or_default() += n;
+        }
+    }
+    placed
+}
--- /dev/null
+++ b/src/coordination/machines.rs
@@ -0,0 +1,761 @@
+//! Machines: what their workers report, what they are told, and when they count as lost.
+
+use super::jobs::Phase;
+use super::txns::{Draft, Purpose};
+use super::{Core, Effect, Failure, OrdersOutcome, Waiter, WorkerAnswer};
+use crate::bookkeeping::schema::{Hold, Key, MachineRecord, Seat, to_value};
+use crate::protocol::user::Kind;
+use crate::protocol::worker::{DirectOrders, Order, Orders, Report, TaskState, Why};
+use crate::units::{JobId, MachineId, Micros, Room, TaskId, Term};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Commands in one message at most, so that it stays below the size limit.
+const ORDERS_MAX: usize = 300;
+
+/// An image being fetched, as far as can be told from outside.
+#[derive(Clone, Debug)]
+pub(super) struct Fetch {
+    pub image: String,
+    pub megabytes: f64,
+    pub since: Micros,
+}
+
+/// A task on the machine that the books know nothing of.
+#[derive(Clone, Debug)]
+struct Stray {
+    task: String,
+    attempt: u64,
+    exited: bool,
+}
+
+#[derive(Default)]
+pub(super) struct Machine {
+    pub session: u64,
+    /// Newest message's number in this session.
+    seq: u64,
+    /// Token on the newest message.
+    token_seen: Term,
+    pub addr: Option<SocketAddr>,
+    /// Last sign of life.
+    pub heard: Micros,
+    /// Last report answered in a way that may have renewed the lease.
+    answered: Micros,
+    /// Has shown our token since we took its share: what it reports counts.
+    pub fenced: bool,
+    pub notice: bool,
+    /// A direct message is on its way.
+    direct: bool,
+    direct_token: Term,
+    push: bool,
+    /// A direct command under this token got no answer and may be carried out at any time.
+    doubt: Option<Term>,
+    probes_failed: u32,
+    next_probe: Micros,
+    strays: Vec<Stray>,
+    pub starts: BTreeSet<(JobId, u32)>,
+    /// Images seen to be there, most recently used last, with their sizes in MB.
+    pub cache: Vec<(String, f64)>,
+    pub fetches: Vec<Fetch>,
+    /// Observed fetch rate, MB per second.
+    pub rate: Option<f64>,
+    /// Jobs with a failed task here since the last success.
+    failed_jobs: BTreeSet<JobId>,
+    /// Since when nothing runs here; for returning and shifting it.
+    pub free_since: Option<Micros>,
+    /// A change of its record is on its way.
+    pub writing: bool,
+    /// Its first record is on its way.
+    pub adopting: bool,
+}
+
+impl Machine {
+    pub fn holds(&self, image: &str) -> bool {
+        self.cache.iter().any(|(i, _)| i == image)
+    }
+
+    /// No command is in doubt and none of its probes failed since it was last heard.
+    pub fn trusted(&self) -> bool {
+        self.doubt.is_none() && self.probes_failed == 0
+    }
+
+    pub fn failed_jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.failed_jobs.iter()
+    }
+
+    fn image_used(&mut self, image: &str, megabytes: f64, capacity_mb: f64) {
+        self.cache.retain(|(i, _)| i != image);
+        self.cache.push((image.to_string(), megabytes));
+        let mut total: f64 = self.cache.iter().map(|(_, mb)| mb).sum();
+        while total > capacity_mb && self.cache.len() > 1 {
+            total -= self.cache.remove(0).1;
+        }
+    }
+}
+
+impl Core {
+    fn seat_of_machine(&self, id: &MachineId) -> Option<Seat> {
+        self.replica.machines.get(id).map(|m| Seat::Share(m.value.share))
+    }
+
+    /// The token for orders to a machine of a share we hold.
+    fn token(&self, id: &MachineId) -> Option<Term> {
+        let record = &self.replica.machines.get(id)?.value;
+        let term = self.held(Seat::Share(record.share))?;
+        Some(term.max(record.term))
+    }
+
+    pub(super) fn machine_room(&self, id: &MachineId) -> Room {
+        let Some(record) = self.replica.machines.get(id) else { return Room::default() };
+        self.types.get(&record.value.machine_type).map(|t| t.room).unwrap_or_default()
+    }
+
+    /// What is left on a machine after all starts not proven gone.
+    pub(super) fn free_room(&self, id: &MachineId) -> Room {
+        let mut free = self.machine_room(id);
+        if let Some(machine) = self.machines.get(id) {
+            for (job, task) in &machine.starts {
+                if let Some(job) = self.jobs.get(job)
+                    && job.live.get(task).is_some_and(|l| l.phase.occupies())
+                {
+                    free = free.minus(&job.room);
+                }
+            }
+        }
+        free
+    }
+
+    pub(super) fn want_push(&mut self, id: &MachineId) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.push = true;
+        }
+    }
+
+    /// Notes since when nothing runs on it.
+    pub(super) fn machine_freed(&mut self, id: &MachineId) {
+        let now = self.now();
+        let Some(machine) = self.machines.get(id) else { return };
+        let busy = machine
+            .starts
+            .iter()
+            .any(|(job, task)| self.jobs.get(job).and_then(|j| j.live.get(task)).is_some_and(|l| l.phase.occupies()));
+        if let Some(machine) = self.machines.get_mut(id) {
+            if busy {
+                machine.free_since = None;
+            } else {
+                machine.free_since.get_or_insert(now);
+            }
+        }
+    }
+
+    pub(super) fn machine_changed(&mut self, id: &MachineId) {
+        let now = self.now();
+        match self.replica.machines.get(id) {
+            None => {
+                // Deleted: whatever was on it is gone.
+                let starts: Vec<_> = match self.machines.get(id) {
+                    Some(machine) => machine.starts.iter().cloned().collect(),
+                    None => Vec::new(),
+                };
+                for (job, task) in &starts {
+                    self.start_gone(job, *task);
+                }
+                if starts.is_empty() {
+                    self.machines.remove(id);
+                }
+            }
+            Some(record) => {
+                let addr = record.value.addr.parse().ok();
+                let machine = self.machines.entry(id.clone()).or_default();
+                machine.addr = addr.or(machine.addr);
+                if machine.starts.is_empty() {
+                    machine.free_since.get_or_insert(now);
+                }
+                if machine.heard == Micros::ZERO {
+                    machine.heard = now;
+                    machine.answered = now;
+                }
+                // A new term or share: only reports that carry it count.
+                let token_seen = machine.token_seen;
+                let fenced = self.token(id).is_some_and(|t| token_seen >= t);
+                if let Some(machine) = self.machines.get_mut(id) {
+                    machine.fenced = fenced;
+                    machine.push |= !fenced;
+                }
+                let waiting = std::mem::take(&mut self.unbooked);
+                for (since, waiter, report) in waiting {
+                    if report.machine == *id {
+                        self.report(waiter, report);
+                    } else {
+                        self.unbooked.push((since, waiter, report));
+                    }
+                }
+            }
+        }
+    }
+
+    /// A share was taken or lost.
+    pub(super) fn share_changed(&mut self, share: u32) {
+        let now = self.now();
+        let ids: Vec<MachineId> =
+            self.replica.machines.iter().filter(|(_, m)| m.value.share == share).map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            let machine = self.machines.entry(id.clone()).or_default();
+            machine.fenced = false;
+            machine.push = true;
+            // The former owner may have renewed leases until now.
+            machine.heard = now;
+            machine.answered = now;
+            machine.doubt = None;
+            machine.probes_failed = 0;
+            machine.failed_jobs.clear();
+            machine.strays.clear();
+        }
+        self.jobs_of_share_reset(share);
+        self.pass_wanted = true;
+    }
+
+    pub(super) fn report(&mut self, waiter: Waiter, report: Report) {
+        let answer = if !self.sync.done { Some(WorkerAnswer::Unavailable) } else { self.report_answer(waiter, report) };
+        if let Some(answer) = answer {
+            self.out.push(Effect::AnswerWorker(waiter, answer));
+        }
+    }
+
+    fn report_answer(&mut self, waiter: Waiter, report: Report) -> Option<WorkerAnswer> {
+        let id = report.machine.clone();
+        let Some(seat) = self.seat_of_machine(&id) else {
+            if self.is_leader() {
+                self.unbooked.push((self.now(), waiter, report));
+                return None;
+            }
+            return Some(match self.other_holder(Seat::Leader) {
+                Some(leader) => WorkerAnswer::Redirect(Some(leader)),
+                None => WorkerAnswer::Unavailable,
+            });
+        };
+        let Some(token) = self.token(&id) else {
+            return Some(match self.other_holder(seat) {
+                Some(owner) => WorkerAnswer::Redirect(Some(owner)),
+                None => WorkerAnswer::Unavailable,
+            });
+        };
+        if report.token > token {
+            // Somebody has a later term than we know of, or this is news from the future of
+            // another share: learn which, and draw a higher one if the machine is ours after all.
+            self.reads.wanted = true;
+            if let Some(machine) = self.machines.get_mut(&id) {
+                machine.doubt = Some(report.token);
+                machine.fenced = false;
+                machine.heard = self.clock.steady;
+            }
+            return Some(WorkerAnswer::Redirect(None));
+        }
+        self.take_report(&report, true);
+        let now = self.now();
+        let fenced = match self.machines.get_mut(&id) {
+            Some(machine) => {
+                machine.answered = now;
+                machine.fenced && machine.session == report.session
+            }
+            None => false,
+        };
+        // Before the worker has shown our token its report proves nothing; the answer's token
+        // makes it report again at once.
+        let orders = if fenced { self.orders_for(&id, Some(report.seq)) } else { Vec::new() };
+        Some(WorkerAnswer::Orders(Orders { token, orders }))
+    }
+
+    /// Takes in a worker's account of itself. `checkin`: it came as a report, which the worker
+    /// sends only after it is through with the answer to the one before.
+    fn take_report(&mut self, report: &Report, checkin: bool) {
+        let now = self.now();
+        let id = &report.machine;
+        let Some(token) = self.token(id) else { return };
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if (report.session, report.seq) <= (machine.session, machine.seq) {
+            return;
+        }
+        machine.heard = now;
+        machine.probes_failed = 0;
+        if report.session > machine.session {
+            machine.strays.clear();
+            machine.fetches.clear();
+        }
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.token_seen = report.token;
+        machine.notice = report.notice_s.is_some();
+        if let Some(addr) = report.addr.as_ref().and_then(|a| a.parse().ok()) {
+            machine.addr = Some(addr);
+        }
+        let was_fenced = machine.fenced;
+        machine.fenced = report.token >= token;
+        if !machine.fenced {
+            return;
+        }
+        if machine.doubt.is_some_and(|d| report.token > d) {
+            machine.doubt = None;
+        }
+        if !was_fenced {
+            self.pass_wanted = true;
+        }
+        self.take_tasks(report, checkin);
+    }
+
+    fn take_tasks(&mut self, report: &Report, checkin: bool) {
+        let id = &report.machine;
+        let mut strays = Vec::new();
+        let mut seen: BTreeSet<(JobId, u32)> = BTreeSet::new();
+        for reported in &report.tasks {
+            let exited = reported.state == TaskState::Exited;
+            let known = TaskId::parse(&reported.task).filter(|t| {
+                self.jobs
+                    .get(&t.job)
+                    .and_then(|j| j.live.get(&t.index))
+                    .is_some_and(|l| l.machine == *id && l.attempt == reported.attempt && l.phase != Phase::Proposed)
+            });
+            let Some(task) = known else {
+                strays.push(Stray { task: reported.task.clone(), attempt: reported.attempt, exited });
+                continue;
+            };
+            seen.insert((task.job.clone(), task.index));
+            if exited {
+                self.exit_seen(id, &task, reported.why.unwrap_or(Why::Unknown));
+            } else {
+                self.task_seen(id, &task, reported.state, report.seq);
+            }
+        }
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.strays = strays;
+        let quiet = !machine.direct && machine.doubt.is_none();
+        let starts: Vec<(JobId, u32)> = machine.starts.iter().filter(|s| !seen.contains(*s)).cloned().collect();
+        for (job, task) in starts {
+            let Some(live) = self.jobs.get(&job).and_then(|j| j.live.get(&task)) else { continue };
+            if live.phase == Phase::Proposed || !live.phase.occupies() {
+                continue;
+            }
+            let earlier_session = live.session < report.session;
+            // Not there, and no command of ours is on its way that could still start it.
+            let absent = checkin && quiet && live.session == report.session && report.seq > live.seq;
+            let unwanted = live.stop.is_some() || live.phase.on_machine();
+            if earlier_session || (absent && unwanted) {
+                self.start_gone(&job, task);
+            }
+        }
+    }
+
+    fn task_seen(&mut self, id: &MachineId, task: &TaskId, state: TaskState, seq: u64) {
+        let now = self.now();
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let (image, megabytes) = (job.spec.image.clone(), job.spec.image_gb * 1000.0);
+        let Some(live) = job.live.get_mut(&task.index) else { return };
+        if !live.phase.occupies() {
+            return;
+        }
+        live.sent = true;
+        live.seq = live.seq.max(seq);
+        let phase = match state {
+            TaskState::Fetching => Phase::Fetching,
+            TaskState::Waiting => Phase::Waiting,
+            TaskState::Running => Phase::Running,
+            TaskState::Saving => Phase::Saving,
+            TaskState::Exited => return,
+        };
+        let before = std::mem::replace(&mut live.phase, phase);
+        if before == phase {
+            return;
+        }
+        if phase == Phase::Fetching {
+            if let Some(machine) = self.machines.get_mut(id)
+                && !machine.fetches.iter().any(|f| f.image == image)
+            {
+                machine.fetches.push(Fetch { image, megabytes, since: now });
+            }
+            return;
+        }
+        if phase == Phase::Running {
+            live.running_since.get_or_insert(now);
+        }
+        self.image_seen(id, &image, megabytes);
+    }
+
+    /// A task that is past fetching shows that its image is there.
+    fn image_seen(&mut self, id: &MachineId, image: &str, megabytes: f64) {
+        let now = self.now();
+        let capacity_mb = self
+            .replica
+            .machines
+            .get(id)
+            .and_then(|m| self.types.get(&m.value.machine_type))
+            .map_or(f64::INFINITY, |t| t.wire.cache_gb * 1000.0);
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if let Some(at) = machine.fetches.iter().position(|f| f.image == image) {
+            let fetch = machine.fetches.remove(at);
+            let seconds = now.since(fetch.since).secs();
+            if seconds > 0.2 && fetch.megabytes > 1.0 {
+                let rate = fetch.megabytes / seconds;
+                machine.rate = Some(machine.rate.map_or(rate, |old| 0.5 * (old + rate)));
+            }
+        }
+        machine.image_used(image, megabytes, capacity_mb);
+    }
+
+    fn exit_seen(&mut self, id: &MachineId, task: &TaskId, why: Why) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let Some(live) = job.live.get(&task.index) else { return };
+        if !live.phase.occupies() {
+            return;
+        }
+        if matches!(why, Why::Done) {
+            let (image, megabytes) = (job.spec.image.clone(), job.spec.image_gb * 1000.0);
+            self.image_seen(id, &image, megabytes);
+        }
+        if let Some(machine) = self.machines.get_mut(id) {
+            match why {
+                Why::Done => machine.failed_jobs.clear(),
+                Why::Error => {
+                    machine.failed_jobs.insert(task.job.clone());
+                }
+                _ => {}
+            }
+        }
+        self.start_ended(&task.job, task.index, why);
+    }
+
+    /// Everything the machine is to be told now. For an answer to a report, `seq` is the
+    /// report's number.
+    fn orders_for(&mut self, id: &MachineId, seq: Option<u64>) -> Vec<Order> {
+        let Some(machine) = self.machines.get(id) else { return Vec::new() };
+        let doomed = self.replica.machines.get(id).is_none_or(|m| m.value.hold == Some(Hold::Doomed));
+        let mut orders = Vec::new();
+        // A copy of a start may be on its way: then forgetting the task would let it start again.
+        let may_forget = machine.doubt.is_none() && !machine.direct;
+        for stray in &machine.strays {
+            let (task, attempt) = (stray.task.clone(), stray.attempt);
+            if !stray.exited {
+                orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
+            } else if may_forget {
+                orders.push(Order::Forget { task, attempt });
+            }
+        }
+        let starts: Vec<(JobId, u32)> = machine.starts.iter().cloned().collect();
+        let session = machine.session;
+        let mut never_sent = Vec::new();
+        for (job_id, index) in starts {
+            let Some(job) = self.jobs.get_mut(&job_id) else { continue };
+            let Some(live) = job.live.get_mut(&index) else { continue };
+            if live.session != session {
+                continue;
+            }
+            let task = format!("{job_id}/{index}");
+            let attempt = live.attempt;
+            match (live.phase, live.stop) {
+                (Phase::Recorded, None) if !doomed => {
+                    live.sent = true;
+                    orders.push(Order::Start { task, attempt });
+                }
+                (Phase::Recorded, Some(_)) if !live.sent => {
+                    never_sent.push((job_id, index));
+                    continue;
+                }
+                (Phase::Recorded | Phase::Fetching | Phase::Waiting | Phase::Running, Some(grace_s)) => {
+                    orders.push(Order::Stop { task, attempt, grace_s });
+                }
+                (Phase::Saving, Some(0.0)) => orders.push(Order::Stop { task, attempt, grace_s: 0.0 }),
+                _ => continue,
+            }
+            if let Some(seq) = seq {
+                live.seq = live.seq.max(seq);
+            }
+            if orders.len() >= ORDERS_MAX {
+                break;
+            }
+        }
+        for (job, task) in never_sent {
+            self.start_gone(&job, task);
+        }
+        orders
+    }
+
+    /// Sends what can't wait for the next report.
+    pub(super) fn push_orders(&mut self) {
+        let now = self.now();
+        let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 2.0);
+        let wanting: Vec<MachineId> =
+            self.machines.iter().filter(|(_, m)| m.push && !m.direct).map(|(id, _)| id.clone()).collect();
+        for id in wanting {
+            let Some(token) = self.token(&id) else {
+                if let Some(machine) = self.machines.get_mut(&id) {
+                    machine.push = false;
+                }
+                continue;
+            };
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            machine.push = false;
+            let Some(addr) = machine.addr else { continue };
+            let (fenced, alive) = (machine.fenced, now.since(machine.heard) < recent);
+            let session = machine.session.max(1);
+            // Without a report under our token an empty message makes the worker show it.
+            let orders = if fenced && alive { self.orders_for(&id, None) } else { Vec::new() };
+            if fenced && orders.is_empty() {
+                continue;
+            }
+            self.send_direct(&id, addr, DirectOrders { token, session, orders });
+        }
+    }
+
+    fn send_direct(&mut self, id: &MachineId, addr: SocketAddr, orders: DirectOrders) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.direct = true;
+            machine.direct_token = orders.token;
+        }
+        self.out.push(Effect::Orders { machine: id.clone(), addr, orders });
+    }
+
+    pub(super) fn orders_outcome(&mut self, id: &MachineId, outcome: OrdersOutcome) {
+        let token = self.token(id);
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.direct = false;
+        match outcome {
+            OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) => {
+                if report.machine != *id || token.is_none_or(|t| report.token > t) {
+                    self.reads.wanted = true;
+                    return;
+                }
+                let wrong_session = report.session != machine.session;
+                self.take_report(&report, false);
+                if wrong_session {
+                    self.want_push(id);
+                }
+            }
+            OrdersOutcome::Failed(Failure::NotDone) => machine.probes_failed += 1,
+            OrdersOutcome::Failed(Failure::Unknown) => {
+                machine.probes_failed += 1;
+                machine.doubt = machine.doubt.max(Some(machine.direct_token));
+            }
+        }
+    }
+
+    pub(super) fn machines_txn_over(&mut self, ids: &[MachineId]) {
+        for id in ids {
+            if let Some(machine) = self.machines.get_mut(id) {
+                machine.writing = false;
+                machine.adopting = false;
+            }
+            self.leader.deleting.remove(id);
+        }
+    }
+
+    pub(super) fn tick_machines(&mut self) {
+        let now = self.now();
+        let late = Micros::from_millis(1000);
+        let waiting = std::mem::take(&mut self.unbooked);
+        for (since, waiter, report) in waiting {
+            if now.since(since) > late {
+                self.out.push(Effect::AnswerWorker(waiter, WorkerAnswer::Unavailable));
+            } else {
+                self.unbooked.push((since, waiter, report));
+            }
+        }
+        let ours: Vec<MachineId> = self
+            .replica
+            .machines
+            .iter()
+            .filter(|(_, m)| self.held(Seat::Share(m.value.share)).is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        let booked = &self.replica.machines;
+        self.machines
+            .retain(|id, m| booked.contains_key(id) || !m.starts.is_empty() || m.direct || m.writing || m.adopting);
+        self.expire_leases(&ours);
+        self.probe(&ours);
+        self.replace_silent(&ours);
+        self.fence_doubtful(&ours);
+        self.retire_faulty(&ours);
+        self.drain_retired(&ours);
+        self.leave_noticed(&ours);
+    }
+
+    /// A worker whose lease has surely run out has killed its tasks. Only our answers can have
+    /// renewed it once it has shown our token.
+    fn expire_leases(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let lease_s = self.platform.deployment.workers.lease_s;
+        let lease = Micros::from_secs_f64(lease_s * 1.002 + 1.0);
+        for id in ours {
+            let Some(machine) = self.machines.get(id) else { continue };
+            if !machine.fenced || now.since(machine.answered) <= lease {
+                continue;
+            }
+            let session = machine.session;
+            for (job, task) in machine.starts.clone() {
+                let expired = self
+                    .jobs
+                    .get(&job)
+                    .and_then(|j| j.live.get(&task))
+                    .is_some_and(|l| l.session <= session && l.phase != Phase::Proposed);
+                if expired {
+                    self.start_gone(&job, task);
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let after = Micros::from_millis(self.policy.probe_after_ms);
+        for id in ours {
+            let Some(token) = self.token(id) else { continue };
+            let Some(machine) = self.machines.get_mut(id) else { continue };
+            if machine.direct || now.since(machine.heard) < after || now < machine.next_probe {
+                continue;
+            }
+            let Some(addr) = machine.addr else { continue };
+            machine.next_probe = now + Micros::from_millis(1500);
+            let session = machine.session.max(1);
+            self.send_direct(id, addr, DirectOrders { token, session, orders: Vec::new() });
+        }
+    }
+
+    /// A single machine gone silent is deleted, which proves its tasks gone sooner than its lease
+    /// would. If many are silent the fault is ours or a cut's, and they may come back.
+    fn replace_silent(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let after = Micros::from_millis(self.policy.replace_after_ms);
+        let silent: Vec<MachineId> = ours
+            .iter()
+            .filter(|id| self.machines.get(*id).is_some_and(|m| m.probes_failed > 0 && now.since(m.heard) >= after))
+            .cloned()
+            .collect();
+        let most = (ours.len() as f64 * self.policy.replace_max_part).max(1.0);
+        if silent.is_empty() || silent.len() as f64 > most {
+            return;
+        }
+        for id in silent {
+            self.set_hold(&id, Hold::Doomed);
+        }
+    }
+
+    /// Changes a machine's record under the condition that it is as we know it.
+    pub(super) fn write_machine(&mut self, id: &MachineId, change: impl FnOnce(&mut MachineRecord)) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let Some(held) = self.replica.machines.get(id) else { return };
+        if machine.writing {
+            return;
+        }
+        let mut record = held.value.clone();
+        change(&mut record);
+        if record == held.value {
+            return;
+        }
+        machine.writing = true;
+        let mut draft = Draft::default();
+        draft.unchanged(&self.replica, Key::Machine(id.clone()));
+        draft.put(Key::Machine(id.clone()), to_value(&record));
+        self.submit_txn(draft, Purpose::Machines(vec![id.clone()]));
+    }
+
+    pub(super) fn set_hold(&mut self, id: &MachineId, hold: Hold) {
+        let before = self.replica.machines.get(id).and_then(|m| m.value.hold);
+        if before != Some(Hold::Doomed) && before != Some(hold) {
+            tracing::info!(machine = %id, ?hold, "machine put on hold");
+            self.write_machine(id, |record| record.hold = Some(hold));
+        }
+    }
+
+    /// Machines with a direct command in doubt get a new term once they are heard again: a report
+    /// that carries it proves the command void.
+    fn fence_doubtful(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 2.0);
+        let mut ids = Vec::new();
+        for id in ours {
+            let token = self.token(id).unwrap_or_default();
+            let Some(machine) = self.machines.get(id) else { continue };
+            let doubtful = machine.doubt.is_some_and(|d| d >= token);
+            if doubtful && !machine.writing && !machine.direct && now.since(machine.heard) < recent {
+                ids.push(id.clone());
+            }
+        }
+        ids.truncate(self.platform.deployment.state.txn_ops - 1);
+        if ids.is_empty() {
+            return;
+        }
+        let worst = ids.iter().filter_map(|id| self.machines.get(id)?.doubt).max().unwrap_or_default();
+        let term = Term(self.replica.term_now().0.max(worst.0) + 1);
+        let mut draft = Draft::default();
+        draft.unchanged(&self.replica, Key::Term);
+        draft.put(Key::Term, to_value(&term));
+        for id in &ids {
+            let Some(held) = self.replica.machines.get(id) else { continue };
+            let mut record = held.value.clone();
+            record.term = term;
+            draft.unchanged(&self.replica, Key::Machine(id.clone()));
+            draft.unchanged(&self.replica, Key::Seat(Seat::Share(record.share)));
+            draft.put(Key::Machine(id.clone()), to_value(&record));
+            if let Some(machine) = self.machines.get_mut(id) {
+                machine.writing = true;
+            }
+        }
+        self.submit_txn(draft, Purpose::Machines(ids));
+    }
+
+    /// Tasks of different jobs failing on one machine speak against the machine.
+    fn retire_faulty(&mut self, ours: &[MachineId]) {
+        for id in ours {
+            let faulty =
+                self.machines.get(id).is_some_and(|m| m.failed_jobs.len() >= self.policy.faulty_after as usize);
+            if !faulty {
+                continue;
+            }
+            let hold = self.replica.machines.get(id).and_then(|m| m.value.hold);
+            if hold.is_none() {
+                tracing::warn!(machine = %id, "tasks of several jobs fail there");
+                self.set_hold(id, Hold::Retire);
+            }
+        }
+    }
+
+    /// A machine to be returned is emptied first.
+    fn drain_retired(&mut self, ours: &[MachineId]) {
+        for id in ours {
+            if self.replica.machines.get(id).is_some_and(|m| m.value.hold == Some(Hold::Retire)) {
+                self.stop_where(id, |_| true);
+            }
+        }
+    }
+
+    /// Services leave a machine that is about to be taken while there is time; other work runs
+    /// on, it may finish.
+    fn leave_noticed(&mut self, ours: &[MachineId]) {
+        for id in ours {
+            if self.machines.get(id).is_some_and(|m| m.notice) {
+                self.stop_services(id);
+            }
+        }
+    }
+
+    fn stop_services(&mut self, id: &MachineId) {
+        self.stop_where(id, |kind| kind == Kind::Service);
+    }
+
+    fn stop_where(&mut self, id: &MachineId, wanted: impl Fn(Kind) -> bool) {
+        let grace = self.policy.stop_grace_s;
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        for (job, task) in &machine.starts {
+            let Some(job) = self.jobs.get_mut(job) else { continue };
+            if !wanted(job.spec.kind) {
+                continue;
+            }
+            if let Some(live) = job.live.get_mut(task)
+                && live.phase.occupies()
+                && live.phase != Phase::Proposed
+                && live.stop.is_none()
+            {
+                live.stop = Some(if job.spec.checkpoint_s > 0.0 { grace } else { 0.0 });
+                machine.push = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,332 @@
+//! Who owns what and what runs where.
+//!
+//! Pure: commands and the time come in, effects go out. One [`Core`] owns all state of a
+//! controller; the daemon feeds it a queue of commands in batches. Everything a decision rests on
+//! is either in the state service (see [`crate::bookkeeping`]) or was proven by a worker's report.
+
+mod jobs;
+mod leader;
+mod machines;
+pub mod placement;
+mod reads;
+mod seats;
+mod txns;
+mod users;
+
+use crate::bookkeeping::{Change, Replica};
+use crate::protocol::cloud::{MachineList, MachineNames, MachineType, MachineTypes, Rental};
+use crate::protocol::state::{Changes, Page, Txn};
+use crate::protocol::user::{JobStatus, Submission};
+use crate::protocol::worker::{DirectOrders, Orders, Report};
+use crate::settings::{Platform, Policy};
+use crate::units::{JobId, MachineId, Micros, Room};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The time as one process sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock {
+    /// Steady, since the process began.
+    pub steady: Micros,
+    /// Time of day.
+    pub wall: Micros,
+}
+
+/// Names somebody who waits for an answer.
+pub type Waiter = u64;
+
+#[derive(Clone, Debug)]
+pub enum UserRequest {
+    Submit(Submission),
+    Get(JobId),
+    Cancel(JobId),
+}
+
+/// How a call ended that got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Surely not carried out: refused, or never sent.
+    NotDone,
+    /// May have been carried out, or may be later.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+pub enum TxnOutcome {
+    Committed(u64),
+    Conflict(u64),
+    /// The session named in it has ended.
+    NoLease,
+    /// The service says the request itself is wrong.
+    Invalid,
+    Failed(Failure),
+}
+
+#[derive(Clone, Debug)]
+pub enum ReadOutcome<T> {
+    Got(T),
+    TooOld,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadKind {
+    /// The long-standing watch.
+    Watch,
+    /// On behalf of waiting users, or to learn why a transaction failed.
+    Fresh,
+}
+
+#[derive(Clone, Debug)]
+pub enum LeaseOutcome {
+    New(u64),
+    Touched,
+    Gone,
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+pub enum OrdersOutcome {
+    Done(Report),
+    /// Nothing executed, but this is how the worker stands.
+    Rejected(Report),
+    Failed(Failure),
+}
+
+#[derive(Clone, Debug)]
+pub enum CloudOutcome {
+    Types(MachineTypes),
+    List(MachineList),
+    Rented(MachineNames),
+    NoCapacity,
+    Deleted,
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+pub enum CloudCall {
+    Types,
+    List { after: Option<MachineId> },
+    Rent(Rental),
+    Delete(Vec<MachineId>),
+}
+
+#[derive(Debug)]
+pub enum Command {
+    User(Waiter, UserRequest),
+    Report(Waiter, Report),
+    Txn { ticket: u64, outcome: TxnOutcome },
+    Changes { kind: ReadKind, outcome: ReadOutcome<Changes> },
+    Page(ReadOutcome<Page>),
+    Lease(LeaseOutcome),
+    Orders { machine: MachineId, outcome: OrdersOutcome },
+    Cloud { call: u64, outcome: CloudOutcome },
+    Tick,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum UserAnswer {
+    Accepted(JobStatus),
+    Status(JobStatus),
+    Malformed,
+    CanNeverRun(&'static str),
+    NotFound,
+    /// Not now; the client is told when to come back.
+    Unavailable {
+        retry_after_s: u32,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub enum WorkerAnswer {
+    Orders(Orders),
+    Redirect(Option<String>),
+    Unavailable,
+}
+
+#[derive(Clone, Debug)]
+pub enum StateCall {
+    Txn { ticket: u64, txn: Txn },
+    Changes { kind: ReadKind, after: u64, wait_ms: u64 },
+    Page { after: Option<String> },
+    NewLease { ttl_ms: u64 },
+    Touch { lease: u64 },
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    AnswerUser(Waiter, UserAnswer),
+    AnswerWorker(Waiter, WorkerAnswer),
+    State(StateCall),
+    Orders { machine: MachineId, addr: SocketAddr, orders: DirectOrders },
+    Cloud { call: u64, request: CloudCall },
+}
+
+/// A machine type with its room worked out.
+#[derive(Clone, Debug)]
+struct TypeInfo {
+    wire: MachineType,
+    room: Room,
+}
+
+pub struct Core {
+    platform: Arc<Platform>,
+    policy: Arc<Policy>,
+    label: String,
+    incarnation: u64,
+    rng: SmallRng,
+    clock: Clock,
+    out: Vec<Effect>,
+    replica: Replica,
+    sync: reads::Sync,
+    reads: reads::Reads,
+    session: seats::Session,
+    seats: seats::Seats,
+    txns: txns::Txns,
+    users: users::Users,
+    jobs: BTreeMap<JobId, jobs::Job>,
+    machines: HashMap<MachineId, machines::Machine>,
+    /// Reports of machines that are just being taken into the books.
+    unbooked: Vec<(Micros, Waiter, Report)>,
+    types: BTreeMap<String, TypeInfo>,
+    types_asked: Micros,
+    /// Jobs still to be looked at in this pass of decisions.
+    pass: VecDeque<JobId>,
+    pass_wanted: bool,
+    pass_began: Micros,
+    leader: leader::Leader,
+    next_call: u64,
+    next_nonce: u64,
+}
+
+impl Core {
+    /// `seed` must differ between processes: it names this incarnation.
+    pub fn new(platform: Arc<Platform>, policy: Arc<Policy>, seed: u64) -> Core {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let incarnation = rng.random::<u64>() >> 12;
+        Core {
+            label: platform.label.clone(),
+            platform,
+            policy,
+            incarnation,
+            rng,
+            clock: Clock::default(),
+            out: Vec::new(),
+            replica: Replica::default(),
+            sync: reads::Sync::default(),
+            reads: reads::Reads::default(),
+            session: seats::Session::default(),
+            seats: seats::Seats::default(),
+            txns: txns::Txns::default(),
+            users: users::Users::default(),
+            jobs: BTreeMap::new(),
+            machines: HashMap::new(),
+            unbooked: Vec::new(),
+            types: BTreeMap::new(),
+            types_asked: Micros::ZERO,
+            pass: VecDeque::new(),
+            pass_wanted: false,
+            pass_began: Micros::ZERO,
+            leader: leader::Leader::default(),
+            next_call: 1,
+            next_nonce: 1,
+        }
+    }
+
+    /// Whether this controller can take requests: it has read the books once.
+    pub fn is_ready(&self) -> bool {
+        self.sync.done
+    }
+
+    pub fn handle(&mut self, clock: Clock, command: Command) {
+        self.clock = clock;
+        match command {
+            Command::User(waiter, request) => self.user_request(waiter, request),
+            Command::Report(waiter, report) => self.report(waiter, report),
+            Command::Txn { ticket, outcome } => self.txn_outcome(ticket, outcome),
+            Command::Changes { kind, outcome } => self.changes_outcome(kind, outcome),
+            Command::Page(outcome) => self.page_outcome(outcome),
+            Command::Lease(outcome) => self.lease_outcome(outcome),
+            Command::Orders { machine, outcome } => self.orders_outcome(&machine, outcome),
+            Command::Cloud { call, outcome } => self.cloud_outcome(call, outcome),
+            Command::Tick => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.tick_reads();
+        self.tick_session();
+        if !self.sync.done {
+            return;
+        }
+        self.tick_txns();
+        self.tick_seats();
+        self.tick_machines();
+        self.tick_types();
+        self.tick_leader();
+        self.pass_wanted = true;
+    }
+
+    /// To be called after each batch of commands: makes the decisions the batch allows.
+    /// `time_left` says whether the round's budget still lasts; what is not reached is
+    /// looked at first in the next round.
+    pub fn round(&mut self, clock: Clock, time_left: &mut dyn FnMut() -> bool) -> Vec<Effect> {
+        self.clock = clock;
+        if self.sync.done {
+            self.place(time_left);
+            self.record();
+            self.push_orders();
+        }
+        self.start_fresh_read();
+        std::mem::take(&mut self.out)
+    }
+
+    /// True if the last round ran out of time.
+    pub fn has_more(&self) -> bool {
+        !self.pass.is_empty()
+    }
+
+    fn now(&self) -> Micros {
+        self.clock.steady
+    }
+
+    fn nonce(&mut self) -> u64 {
+        self.next_nonce += 1;
+        // Unique among processes by the incarnation's upper bits, within one by the count.
+        (self.incarnation << 12) ^ self.next_nonce
+    }
+
+    fn changed(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Seat(seat) => self.seat_changed(seat),
+                Change::Machine(id) => self.machine_changed(&id),
+                Change::Job(id) | Change::Run(id, _) | Change::End(id) => self.job_changed(&id),
+                Change::Node(_) | Change::Nothing => {}
+            }
+        }
+    }
+
+    /// Begins anew as if the process had just started; for when the replica can't be continued.
+    fn start_over(&mut self) {
+        tracing::warn!("the watch is too far behind, reading everything again");
+        let seed = self.rng.random();
+        let mut fresh = Core::new(self.platform.clone(), self.policy.clone(), seed);
+        fresh.clock = self.clock;
+        fresh.out = std::mem::take(&mut self.out);
+        fresh.types = std::mem::take(&mut self.types);
+        fresh.next_call = self.next_call;
+        for waiter in self.users.all_waiters() {
+            fresh.out.push(Effect::AnswerUser(waiter, UserAnswer::Unavailable { retry_after_s: 1 }));
+        }
+        for (_, waiter, _) in self.unbooked.drain(..) {
+            fresh.out.push(Effect::AnswerWorker(waiter, WorkerAnswer::Unavailable));
+        }
+        // Tickets go on counting, so that answers to old calls match nothing.
+        fresh.txns.next_ticket = self.txns.next_ticket;
+        *self = fresh;
+    }
+}
--- /dev/null
+++ b/src/coordination/seats.rs
@@ -0,0 +1,237 @@
+//! The controller's session in the state service, and the seats (shares, leadership) it holds.
+//!
+//! A seat's key is bound to its holder's session, so it vanishes with it. Taking one draws the
+//! next term from the one counter in the same transaction. A controller holds a seat only once
+//! the watch has shown it the key: then its replica also has every start recorded before.
+
+use super::txns::{Draft, Purpose};
+use super::{Core, Effect, LeaseOutcome, StateCall};
+use crate::bookkeeping::schema::{Key, NodeRecord, Seat, SeatRecord, to_value};
+use crate::units::{Micros, Term};
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub(super) struct Session {
+    pub lease: Option<u64>,
+    in_flight: bool,
+    next: Micros,
+}
+
+#[derive(Default)]
+pub(super) struct Seats {
+    /// Since when each seat has been seen without a holder.
+    free_since: BTreeMap<Seat, Micros>,
+    /// Seats held, with the terms under which they were last seen.
+    pub held: BTreeMap<Seat, Term>,
+    /// Since when each sibling's node key has been seen.
+    siblings_since: BTreeMap<String, Micros>,
+    taking: bool,
+    node_writing: bool,
+    not_before: Micros,
+}
+
+impl Core {
+    pub(super) fn shares(&self) -> u32 {
+        self.platform.deployment.nodes
+    }
+
+    /// The term of a seat this process holds.
+    pub(super) fn held(&self, seat: Seat) -> Option<Term> {
+        self.seats.held.get(&seat).copied()
+    }
+
+    pub(super) fn is_leader(&self) -> bool {
+        self.held(Seat::Leader).is_some()
+    }
+
+    /// Label of whoever holds a seat, if it is another controller.
+    pub(super) fn other_holder(&self, seat: Seat) -> Option<String> {
+        self.replica.seats.get(&seat).map(|s| s.value.owner.clone()).filter(|o| *o != self.label)
+    }
+
+    pub(super) fn tick_session(&mut self) {
+        let now = self.now();
+        if self.session.in_flight || now < self.session.next {
+            return;
+        }
+        self.session.in_flight = true;
+        let call = match self.session.lease {
+            Some(lease) => StateCall::Touch { lease },
+            None => StateCall::NewLease { ttl_ms: self.policy.session_ms },
+        };
+        self.out.push(Effect::State(call));
+    }
+
+    pub(super) fn lease_outcome(&mut self, outcome: LeaseOutcome) {
+        self.session.in_flight = false;
+        let renew = Micros::from_millis(self.policy.session_ms / 4);
+        match outcome {
+            LeaseOutcome::New(lease) => {
+                self.session.lease = Some(lease);
+                self.session.next = self.now() + renew;
+                self.tick_seats();
+            }
+            LeaseOutcome::Touched => self.session.next = self.now() + renew,
+            LeaseOutcome::Gone => {
+                self.session.lease = None;
+                self.session.next = self.now();
+                self.tick_session();
+            }
+            LeaseOutcome::Failed => self.session.next = self.now() + Micros::from_millis(200),
+        }
+    }
+
+    fn seat_list(&self) -> Vec<Seat> {
+        std::iter::once(Seat::Leader).chain((0..self.shares()).map(Seat::Share)).collect()
+    }
+
+    /// Labels of all controllers in order; the same on each of them.
+    fn labels(&self) -> Vec<&str> {
+        let mut labels: Vec<&str> = self.platform.siblings.iter().map(|s| s.label.as_str()).collect();
+        labels.push(&self.label);
+        labels.sort_unstable();
+        labels
+    }
+
+    /// How far down the order this controller stands for a seat; 0 stands first.
+    fn distance(&self, seat: Seat) -> u32 {
+        let labels = self.labels();
+        let n = labels.len() as u32;
+        let me = labels.iter().position(|l| *l == self.label).unwrap_or(0) as u32;
+        let home = match seat {
+            Seat::Leader => 0,
+            Seat::Share(k) => k % n,
+        };
+        (me + n - home) % n
+    }
+
+    pub(super) fn tick_seats(&mut self) {
+        let now = self.now();
+        if !self.sync.done {
+            return;
+        }
+        let Some(lease) = self.session.lease else { return };
+        self.note_siblings();
+        if now < self.seats.not_before {
+            return;
+        }
+        let own_node = self.replica.nodes.get(&self.label).map(|n| n.value.incarnation);
+        if own_node != Some(self.incarnation) && !self.seats.node_writing {
+            self.seats.node_writing = true;
+            let record = NodeRecord { incarnation: self.incarnation };
+            let mut txn = Draft::default();
+            txn.put_bound(Key::Node(self.label.clone()), to_value(&record), lease);
+            self.submit_txn(txn, Purpose::Node);
+        }
+        if self.seats.taking {
+            return;
+        }
+        let step = Micros::from_millis(self.policy.takeover_step_ms);
+        for seat in self.seat_list() {
+            let record = self.replica.seats.get(&seat).map(|s| s.value.clone());
+            let take = match &record {
+                // Held by an earlier process under our label, which is surely dead.
+                Some(r) if r.owner == self.label => r.incarnation != self.incarnation,
+                Some(_) => false,
+                None => {
+                    let since = *self.seats.free_since.entry(seat).or_insert(now);
+                    let burden = self.seats.held.len() as u64;
+                    let wait = step.0 * (u64::from(self.distance(seat)) + burden.min(4) / 2);
+                    now.since(since) >= Micros(wait)
+                }
+            };
+            if record.is_some() {
+                self.seats.free_since.remove(&seat);
+            }
+            if take {
+                self.take_seat(seat, lease);
+                return;
+            }
+        }
+        self.hand_back();
+    }
+
+    fn take_seat(&mut self, seat: Seat, lease: u64) {
+        let term = Term(self.replica.term_now().0 + 1);
+        let record = SeatRecord { owner: self.label.clone(), incarnation: self.incarnation, term };
+        let mut txn = Draft::default();
+        txn.unchanged(&self.replica, Key::Seat(seat));
+        txn.unchanged(&self.replica, Key::Term);
+        txn.put_bound(Key::Seat(seat), to_value(&record), lease);
+        txn.put(Key::Term, to_value(&term));
+        self.seats.taking = true;
+        self.submit_txn(txn, Purpose::Seat);
+    }
+
+    fn note_siblings(&mut self) {
+        let now = self.now();
+        let nodes = &self.replica.nodes;
+        self.seats.siblings_since.retain(|label, _| nodes.contains_key(label));
+        for label in nodes.keys().filter(|l| **l != self.label) {
+            self.seats.siblings_since.entry(label.clone()).or_insert(now);
+        }
+    }
+
+    /// Gives up one share if a sibling that has been back for a while holds none.
+    fn hand_back(&mut self) {
+        let shares: Vec<Seat> = self.seats.held.keys().copied().filter(|s| matches!(s, Seat::Share(_))).collect();
+        if shares.len() < 2 {
+            return;
+        }
+        let patience = Micros::from_millis(self.policy.hand_back_after_ms);
+        let now = self.now();
+        let idle = self.seats.siblings_since.iter().find(|(label, since)| {
+            now.since(**since) >= patience
+                && !self.replica.seats.iter().any(|(s, r)| matches!(s, Seat::Share(_)) && r.value.owner == **label)
+        });
+        if idle.is_none() {
+            return;
+        }
+        // The one that stands farthest from us in the order, so that its home takes it first.
+        let Some(seat) = shares.into_iter().max_by_key(|s| self.distance(*s)) else { return };
+        tracing::info!(?seat, "handing back");
+        let mut txn = Draft::default();
+        txn.unchanged(&self.replica, Key::Seat(seat));
+        txn.delete(Key::Seat(seat));
+        self.seats.taking = true;
+        self.submit_txn(txn, Purpose::Seat);
+    }
+
+    pub(super) fn seat_txn_over(&mut self, purpose: &Purpose, failed: bool) {
+        match purpose {
+            Purpose::Node => self.seats.node_writing = false,
+            _ => self.seats.taking = false,
+        }
+        if failed {
+            self.seats.not_before = self.now() + Micros::from_millis(100);
+        }
+        self.reads.wanted = true;
+    }
+
+    pub(super) fn seat_changed(&mut self, seat: Seat) {
+        let mine = self
+            .replica
+            .seats
+            .get(&seat)
+            .filter(|s| s.value.owner == self.label && s.value.incarnation == self.incarnation)
+            .map(|s| s.value.term);
+        let before = self.seats.held.get(&seat).copied();
+        if mine == before {
+            return;
+        }
+        match mine {
+            Some(term) => {
+                self.seats.held.insert(seat, term);
+                tracing::info!(?seat, term = term.0, "took over");
+            }
+            None => {
+                self.seats.held.remove(&seat);
+                tracing::info!(?seat, "lost");
+            }
+        }
+        match seat {
+            Seat::Leader => self.leader_changed(),
+            Seat::Share(share) => self.share_changed(share),
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/users.rs
@@ -0,0 +1,232 @@
+//! Submissions, questions and cancellations.
+//!
+//! A final state is answered from memory. Anything else needs a fresh read that began after the
+//! request came; a new job's transaction is such a read in itself.
+
+use super::txns::{Draft, Purpose};
+use super::{Core, Effect, UserAnswer, UserRequest, Waiter};
+use crate::bookkeeping::schema::{JobRecord, Key, Outcome, to_value};
+use crate::protocol::user::{JobSpec, JobState, JobStatus, Kind, Submission};
+use crate::units::{JobId, Room};
+use std::collections::HashMap;
+
+/// What to do once the replica is fresh.
+enum Question {
+    Status(JobId),
+    Submit(JobId, Option<Box<JobSpec>>),
+    /// Somebody else's submission of it was there first.
+    Known(JobId),
+    Cancel(JobId),
+}
+
+#[derive(Default)]
+pub(super) struct Users {
+    /// Asked after the read in flight was sent.
+    next: Vec<(Waiter, Question)>,
+    /// Answered by the read in flight.
+    current: Vec<(Waiter, Question)>,
+    submits: HashMap<JobId, Vec<Waiter>>,
+    cancels: HashMap<JobId, Vec<Waiter>>,
+}
+
+impl Users {
+    pub fn wants_read(&self) -> bool {
+        !self.next.is_empty()
+    }
+
+    pub fn read_started(&mut self) {
+        debug_assert!(self.current.is_empty());
+        self.current = std::mem::take(&mut self.next);
+    }
+
+    pub fn all_waiters(&mut self) -> Vec<Waiter> {
+        let questions = self.next.drain(..).chain(self.current.drain(..)).map(|(w, _)| w);
+        let writes = self.submits.drain().chain(self.cancels.drain()).flat_map(|(_, w)| w);
+        questions.chain(writes).collect()
+    }
+}
+
+const BUSY: UserAnswer = UserAnswer::Unavailable { retry_after_s: 1 };
+
+impl Core {
+    fn answer(&mut self, waiter: Waiter, answer: UserAnswer) {
+        self.out.push(Effect::AnswerUser(waiter, answer));
+    }
+
+    /// The final state of a job that is over.
+    fn final_status(&self, id: &JobId) -> Option<JobStatus> {
+        let state = match self.replica.ends.get(id)?.value {
+            Outcome::Done => JobState::Done,
+            Outcome::Cancelled => JobState::Cancelled,
+        };
+        Some(JobStatus { id: id.clone(), state, done: None, running: None })
+    }
+
+    /// As the replica has it; for others than final states it must be fresh.
+    fn status(&self, id: &JobId) -> Option<JobStatus> {
+        if let Some(status) = self.final_status(id) {
+            return Some(status);
+        }
+        self.replica.jobs.get(id)?;
+        let (done, running) = self.jobs.get(id).map_or((0, 0), |job| job.counts());
+        let state = if running > 0 { JobState::Running } else { JobState::Queued };
+        Some(JobStatus { id: id.clone(), state, done: Some(done), running: Some(running) })
+    }
+
+    pub(super) fn user_request(&mut self, waiter: Waiter, request: UserRequest) {
+        if !self.sync.done {
+            return self.answer(waiter, BUSY);
+        }
+        match request {
+            UserRequest::Get(id) => match self.final_status(&id) {
+                Some(status) => self.answer(waiter, UserAnswer::Status(status)),
+                None => self.users.next.push((waiter, Question::Status(id))),
+            },
+            UserRequest::Cancel(id) => match self.final_status(&id) {
+                Some(status) => self.answer(waiter, UserAnswer::Status(status)),
+                None if self.replica.jobs.contains_key(&id) => self.cancel(waiter, id),
+                None => self.users.next.push((waiter, Question::Cancel(id))),
+            },
+            UserRequest::Submit(submission) => self.submit(waiter, submission),
+        }
+    }
+
+    fn submit(&mut self, waiter: Waiter, submission: Submission) {
+        let Some(id) = submission.id else {
+            return self.answer(waiter, UserAnswer::Malformed);
+        };
+        if let Some(status) = self.final_status(&id) {
+            return self.answer(waiter, UserAnswer::Status(status));
+        }
+        let spec = submission.spec;
+        let fine = spec.as_ref().is_some_and(|s| self.refusal(s).is_none());
+        if self.replica.jobs.contains_key(&id) || !fine {
+            // Known, or to be refused unless it is known after all.
+            self.users.next.push((waiter, Question::Submit(id, spec.map(Box::new))));
+            return;
+        }
+        if let Some(spec) = spec {
+            self.accept(waiter, id, spec);
+        }
+    }
+
+    fn accept(&mut self, waiter: Waiter, id: JobId, spec: JobSpec) {
+        let waiters = self.users.submits.entry(id.clone()).or_default();
+        waiters.push(waiter);
+        if waiters.len() > 1 {
+            return;
+        }
+        let record = JobRecord { accepted: self.clock.wall, spec };
+        let mut txn = Draft::default();
+        txn.unchanged(&self.replica, Key::Job(id.clone()));
+        txn.unchanged(&self.replica, Key::End(id.clone()));
+        txn.put(Key::Job(id.clone()), to_value(&record));
+        self.submit_txn(txn, Purpose::Submit(id));
+    }
+
+    fn cancel(&mut self, waiter: Waiter, id: JobId) {
+        let waiters = self.users.cancels.entry(id.clone()).or_default();
+        waiters.push(waiter);
+        if waiters.len() > 1 {
+            return;
+        }
+        let mut txn = Draft::default();
+        txn.unchanged(&self.replica, Key::Job(id.clone()));
+        txn.unchanged(&self.replica, Key::End(id.clone()));
+        txn.put(Key::End(id.clone()), to_value(&Outcome::Cancelled));
+        self.submit_txn(txn, Purpose::Cancel(id));
+    }
+
+    pub(super) fn submit_over(&mut self, id: &JobId, committed: bool) {
+        let status = self.status(id);
+        for (i, waiter) in self.users.submits.remove(id).unwrap_or_default().into_iter().enumerate() {
+            let answer = match &status {
+                Some(status) if committed && i == 0 => UserAnswer::Accepted(status.clone()),
+                Some(status) => UserAnswer::Status(status.clone()),
+                None => BUSY,
+            };
+            // A refused transaction proves nothing about a state that isn't final.
+            let sure = committed || status.as_ref().is_some_and(|s| s.done.is_none());
+            match answer {
+                UserAnswer::Status(_) if !sure => {
+                    self.users.next.push((waiter, Question::Known(id.clone())));
+                }
+                answer => self.answer(waiter, answer),
+            }
+        }
+    }
+
+    pub(super) fn cancel_over(&mut self, id: &JobId, _committed: bool) {
+        let answer = self.final_status(id).map_or(BUSY, UserAnswer::Status);
+        for waiter in self.users.cancels.remove(id).unwrap_or_default() {
+            self.answer(waiter, answer.clone());
+        }
+    }
+
+    /// The fresh read in flight has ended.
+    pub(super) fn read_done(&mut self, fresh: bool) {
+        for (waiter, question) in std::mem::take(&mut self.users.current) {
+            if !fresh {
+                self.answer(waiter, BUSY);
+                continue;
+            }
+            match question {
+                Question::Status(id) => {
+                    let answer = self.status(&id).map_or(UserAnswer::NotFound, UserAnswer::Status);
+                    self.answer(waiter, answer);
+                }
+                Question::Known(id) => {
+                    let answer = self.status(&id).map_or(BUSY, UserAnswer::Status);
+                    self.answer(waiter, answer);
+                }
+                Question::Cancel(id) => match self.status(&id) {
+                    None => self.answer(waiter, UserAnswer::NotFound),
+                    Some(_) => self.user_request(waiter, UserRequest::Cancel(id)),
+                },
+                Question::Submit(id, spec) => {
+                    let answer = match (self.status(&id), spec) {
+                        (Some(status), _) => UserAnswer::Status(status),
+                        (None, None) => UserAnswer::Malformed,
+                        (None, Some(spec)) => match self.refusal(&spec) {
+                            Some(answer) => answer,
+                            None => {
+                                self.accept(waiter, id, *spec);
+                                continue;
+                            }
+                        },
+                    };
+                    self.answer(waiter, answer);
+                }
+            }
+        }
+    }
+
+    /// Why a job that is not known can't be taken now, or ever.
+    fn refusal(&self, spec: &JobSpec) -> Option<UserAnswer> {
+        let never = |why| Some(UserAnswer::CanNeverRun(why));
+        let room = spec.room();
+        let all = match spec.kind {
+            Kind::Array => room,
+            Kind::Gang | Kind::Service => room.times(u64::from(spec.tasks)),
+        };
+        if let Some(name) = &spec.team {
+            let Some(team) = self.platform.deployment.teams.iter().find(|t| t.name == *name) else {
+                return never("unknown team");
+            };
+            // A limit of 0 means none.
+            let limit = Room::new(team.cpus_max, team.gpus_max, 0.0);
+            if (limit.cpus > 0 && all.cpus > limit.cpus) || (limit.gpus > 0 && all.gpus > limit.gpus) {
+                return never("needs more than the team's limit");
+            }
+        }
+        if self.types.is_empty() {
+            return Some(BUSY);
+        }
+        let fits = self.types.values().any(|t| {
+            spec.types.as_ref().is_none_or(|allowed| allowed.contains(&t.wire.name))
+                && spec.zone.as_ref().is_none_or(|z| t.wire.zones.is_empty() || t.wire.zones.contains(z))
+                && room.fits_in(&t.room)
+        });
+        if fits { None } else { never("a task fits no allowed machine type") }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! burlhatch: a cluster scheduler run by a few equal controllers.
+//!
+//! The layers, from the outside in:
+//!
+//! * [`transport`]: sockets, HTTP, peer links and the limits a client keeps;
+//! * [`protocol`]: the messages as they look on the wire and what makes them valid;
+//! * [`coordination`]: who owns what, what runs where; pure, without I/O or clock;
+//! * [`bookkeeping`]: what is kept in the state service and the replica of it.
+
+pub mod bookkeeping;
+pub mod coordination;
+pub mod protocol;
+pub mod settings;
+pub mod transport;
+pub mod units;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,297 @@
+//! The platform's settings file (TOML) and the operators' own settings (JSON).
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{path}: {source}")]
+    Read { path: String, source: std::io::Error },
+    #[error("{path}: {message}")]
+    Parse { path: String, message: String },
+    #[error("{field}: {message}")]
+    Invalid { field: String, message: String },
+}
+
+fn invalid(field: impl Into<String>, message: impl Into<String>) -> SettingsError {
+    SettingsError::Invalid { field: field.into(), message: message.into() }
+}
+
+/// The file the platform hands over. Unknown fields are ignored.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Platform {
+    pub label: String,
+    #[serde(default)]
+    pub site: String,
+    pub public_addr: SocketAddr,
+    pub back: SocketAddr,
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    pub external: External,
+    pub deployment: Deployment,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Sibling {
+    pub label: String,
+    #[serde(default)]
+    pub site: String,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct External {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Deployment {
+    pub nodes: u32,
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub time_bound_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub quota: Quota,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<String>,
+    pub within_s: Option<f64>,
+    pub share: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Quota {
+    #[serde(default)]
+    pub cpu: f64,
+    #[serde(default)]
+    pub mem_mb: f64,
+    pub fd_limit: usize,
+}
+
+impl Platform {
+    pub fn load(path: &Path) -> Result<Platform, SettingsError> {
+        let shown = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|source| SettingsError::Read { path: shown.clone(), source })?;
+        Platform::parse(&text).map_err(|e| match e {
+            SettingsError::Parse { message, .. } => SettingsError::Parse { path: shown, message },
+            other => other,
+        })
+    }
+
+    pub fn parse(text: &str) -> Result<Platform, SettingsError> {
+        let platform: Platform = toml::from_str(text)
+            .map_err(|e| SettingsError::Parse { path: "settings".into(), message: e.to_string().trim().to_string() })?;
+        platform.check()?;
+        Ok(platform)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.label.is_empty() || self.label.contains(char::is_whitespace) || self.label.len() > 64 {
+            return Err(invalid("label", "must be 1 to 64 characters without spaces"));
+        }
+        let mut labels = vec![&self.label];
+        for sibling in &self.siblings {
+            if labels.contains(&&sibling.label) {
+                return Err(invalid("siblings.label", format!("'{}' occurs twice", sibling.label)));
+            }
+            labels.push(&sibling.label);
+        }
+        let d = &self.deployment;
+        if d.nodes == 0 || d.nodes > 64 {
+            return Err(invalid("deployment.nodes", "must be 1 to 64"));
+        }
+        let positive = [
+            ("deployment.workers.report_s", d.workers.report_s),
+            ("deployment.workers.lease_s", d.workers.lease_s),
+            ("deployment.workers.gang_wait_s", d.workers.gang_wait_s),
+            ("deployment.workers.gang_peer_s", d.workers.gang_peer_s),
+            ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.state.rps", d.state.rps),
+            ("deployment.state.write_rps", d.state.write_rps),
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.cloud.rps", d.cloud.rps),
+        ];
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(invalid(field, "must be a positive number"));
+            }
+        }
+        if d.state.txn_ops < 4 {
+            return Err(invalid("deployment.state.txn_ops", "must be at least 4"));
+        }
+        if d.state.value_kb < 2.0 {
+            return Err(invalid("deployment.state.value_kb", "must be at least 2"));
+        }
+        if d.quota.fd_limit < 64 {
+            return Err(invalid("deployment.quota.fd_limit", "must be at least 64"));
+        }
+        if !(d.cloud.list_lag_s.is_finite() && d.cloud.list_lag_s >= 0.0) {
+            return Err(invalid("deployment.cloud.list_lag_s", "must not be negative"));
+        }
+        for (i, team) in d.teams.iter().enumerate() {
+            for (name, value) in
+                [("cpus", team.cpus), ("cpus_max", team.cpus_max), ("gpus", team.gpus), ("gpus_max", team.gpus_max)]
+            {
+                if !(value.is_finite() && value >= 0.0) {
+                    return Err(invalid(format!("deployment.teams[{i}].{name}"), "must not be negative"));
+                }
+            }
+            if d.teams[..i].iter().any(|t| t.name == team.name) {
+                return Err(invalid("deployment.teams.name", format!("'{}' occurs twice", team.name)));
+            }
+        }
+        Ok(())
+    }
+}
+
+macro_rules! policy {
+    ($($(#[doc = $doc:literal])+ $name:ident: $ty:ty = $default:expr, $min:expr, $max:expr;)+) => {
+        /// The operators' own settings. Every value has a default.
+        #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+        #[serde(deny_unknown_fields, default)]
+        pub struct Policy {
+            $($(#[doc = $doc])+ pub $name: $ty,)+
+        }
+
+        impl Default for Policy {
+            fn default() -> Policy {
+                Policy { $($name: $default,)+ }
+            }
+        }
+
+        impl Policy {
+            fn check(&self) -> Result<(), SettingsError> {
+                $(
+                    #[allow(unused_comparisons)]
+                    if !(self.$name >= $min && self.$name <= $max) {
+                        return Err(invalid(
+                            stringify!($name),
+                            format!("must be {} to {}, is {}", $min, $max, self.$name),
+                        ));
+                    }
+                )+
+                Ok(())
+            }
+        }
+    };
+}
+
+policy! {
+    /// How long a controller's session in the state service outlives its last renewal.
+    session_ms: u64 = 3000, 500, 60000;
+    /// A free share that belongs to another controller by order is left alone for this long, times its distance.
+    takeover_step_ms: u64 = 400, 0, 60000;
+    /// A controller holding more than its part hands a share to a sibling that has been back for this long.
+    hand_back_after_ms: u64 = 8000, 0, 600000;
+    /// Shortest pause between two reads of the state service on behalf of waiting users.
+    read_gap_ms: u64 = 15, 0, 1000;
+    /// Longest wait of one open watch.
+    watch_ms: u64 = 10000, 100, 60000;
+    /// Time until a call to the state service counts as unanswered.
+    state_timeout_ms: u64 = 1500, 100, 30000;
+    /// Part of the state service's limits that a single controller lets itself use.
+    state_limit_share: f64 = 0.6, 0.05, 1.0;
+    /// Finished tasks wait this long for company before they are recorded.
+    record_delay_ms: u64 = 400, 0, 2000;
+    /// Image fetch rate assumed for a machine before any fetch was observed.
+    start_fetch_mb_per_s: f64 = 50.0, 0.1, 100000.0;
+    /// A machine without the image is chosen over a holder only if it is ready earlier by this.
+    holder_margin_ms: u64 = 10000, 0, 600000;
+    /// Deadline assumed for a task whose job has none.
+    default_slack_ms: u64 = 30000, 0, 3600000;
+    /// Time one round of decisions may take before it lets other work through.
+    round_budget_us: u64 = 4000, 100, 1000000;
+    /// Silence of a machine after which it is probed.
+    probe_after_ms: u64 = 5000, 1000, 600000;
+    /// Silence, with probes unanswered, after which a single machine is replaced.
+    replace_after_ms: u64 = 9000, 2000, 600000;
+    /// When more than this part of the machines is silent, the fault is taken to be elsewhere.
+    replace_max_part: f64 = 0.25, 0.0, 1.0;
+    /// Failed tasks of different jobs, without a success between, that make a machine suspect.
+    faulty_after: u32 = 2, 1, 1000;
+    /// Longest pause before a task that failed is tried again.
+    retry_max_ms: u64 = 20000, 100, 600000;
+    /// Room kept free in each share for this many tasks of its largest services.
+    spare_tasks: u32 = 2, 0, 1000;
+    /// A machine without tasks is returned after this long.
+    idle_return_ms: u64 = 40000, 0, 86400000;
+    /// Backlog of batch work is to be worked off within this time; more machines are rented if it is not.
+    drain_ms: u64 = 60000, 1000, 86400000;
+    /// A refused kind of machine is not asked for again for this long.
+    refused_pause_ms: u64 = 15000, 100, 3600000;
+    /// A machine that boots longer than this multiple of the usual time is given up.
+    boot_patience: f64 = 3.0, 1.0, 100.0;
+    /// Most machines being booted at a time.
+    boots_max: u32 = 12, 1, 1000;
+    /// Grace for a task that can save.
+    stop_grace_s: f64 = 30.0, 0.0, 600.0;
+}
+
+impl Policy {
+    pub fn load(path: &Path) -> Result<Policy, SettingsError> {
+        let shown = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|source| SettingsError::Read { path: shown.clone(), source })?;
+        let policy: Policy =
+            serde_json::from_str(&text).map_err(|e| SettingsError::Parse { path: shown, message: e.to_string() })?;
+        policy.check()?;
+        Ok(policy)
+    }
+
+    pub fn schema() -> String {
+        let schema = schemars::schema_for!(Policy);
+        let mut text = serde_json::to_string_pretty(&schema).unwrap_or_default();
+        text.push('\n');
+        text
+    }
+}
--- /dev/null
+++ b/src/transport/calls.rs
@@ -0,0 +1,212 @@
+//! Carries out the core's effects and brings back what came of them.
+
+use super::client::{Answer, Client};
+use super::limits::{Class, Limiter};
+use crate::coordination::{
+    CloudCall, CloudOutcome, Command, Failure, LeaseOutcome, OrdersOutcome, ReadKind, ReadOutcome, StateCall,
+    TxnOutcome,
+};
+use crate::protocol::worker::{DirectOrders, Report};
+use crate::protocol::{cloud, decode, encode, state};
+use crate::settings::{Platform, Policy};
+use crate::units::MachineId;
+use hyper::Method;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const ORDERS_LIMIT: Duration = Duration::from_millis(2500);
+const CLOUD_LIMIT: Duration = Duration::from_millis(5000);
+
+/// Where calls go, and how fast.
+pub struct Services {
+    client: Client,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    state_requests: Limiter,
+    state_writes: Limiter,
+    cloud_requests: Limiter,
+    state_limit: Duration,
+    prefix: &'static str,
+}
+
+fn read<T: DeserializeOwned>(answer: &Answer) -> Option<T> {
+    decode(&answer.body).map_err(|e| tracing::error!(error = %e, "unreadable answer")).ok()
+}
+
+impl Services {
+    pub fn new(platform: &Platform, policy: &Policy, client: Client) -> Services {
+        let part = policy.state_limit_share;
+        let limits = &platform.deployment;
+        let limiter = |rate: f64| Limiter::new(rate * part, rate * part);
+        Services {
+            client,
+            state: platform.external.state,
+            cloud: platform.external.cloud,
+            state_requests: limiter(limits.state.rps),
+            state_writes: limiter(limits.state.write_rps),
+            cloud_requests: Limiter::new(limits.cloud.rps * part, limits.cloud.rps * part),
+            state_limit: Duration::from_millis(policy.state_timeout_ms),
+            prefix: crate::bookkeeping::schema::ROOT,
+        }
+    }
+
+    async fn state_call(
+        &self,
+        class: Class,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Answer, Failure> {
+        if !self.state_requests.acquire(1.0, class, self.state_limit).await {
+            return Err(Failure::NotDone);
+        }
+        self.client.call(self.state, method, path, body, limit).await
+    }
+
+    pub async fn state(&self, call: StateCall) -> Command {
+        match call {
+            StateCall::Txn { ticket, txn } => Command::Txn { ticket, outcome: self.txn(&txn).await },
+            StateCall::Changes { kind, after, wait_ms } => {
+                let path = state::changes_path(self.prefix, after, wait_ms);
+                let limit = match kind {
+                    ReadKind::Watch => Duration::from_millis(wait_ms) + self.state_limit,
+                    ReadKind::Fresh => self.state_limit,
+                };
+                let answer = self.state_call(Class::Read, Method::GET, &path, Vec::new(), limit).await;
+                Command::Changes { kind, outcome: read_outcome(answer) }
+            }
+            StateCall::Page { after } => {
+                let path = state::page_path(self.prefix, after.as_deref());
+                let limit = self.state_limit * 2;
+                let answer = self.state_call(Class::Read, Method::GET, &path, Vec::new(), limit).await;
+                Command::Page(read_outcome(answer))
+            }
+            StateCall::NewLease { ttl_ms } => {
+                let body = encode(&state::NewLease { ttl_ms });
+                let answer =
+                    self.state_call(Class::Renewal, Method::POST, state::LEASES_PATH, body, self.state_limit).await;
+                Command::Lease(match answer {
+                    Ok(a) if a.status == 200 => {
+                        read::<state::Lease>(&a).map_or(LeaseOutcome::Failed, |l| LeaseOutcome::New(l.lease))
+                    }
+                    _ => LeaseOutcome::Failed,
+                })
+            }
+            StateCall::Touch { lease } => {
+                let path = state::touch_path(lease);
+                // A renewal that hangs must leave time for another.
+                let limit = self.state_limit.min(Duration::from_millis(700));
+                let answer = self.state_call(Class::Renewal, Method::POST, &path, Vec::new(), limit).await;
+                Command::Lease(match answer {
+                    Ok(a) if a.status == 200 => LeaseOutcome::Touched,
+                    Ok(a) if a.status == 404 => LeaseOutcome::Gone,
+                    _ => LeaseOutcome::Failed,
+                })
+            }
+        }
+    }
+
+    async fn txn(&self, txn: &state::Txn) -> TxnOutcome {
+        let cost = txn.writes.len() as f64;
+        if !self.state_writes.acquire(cost, Class::Transaction, self.state_limit).await {
+            return TxnOutcome::Failed(Failure::NotDone);
+        }
+        let answer =
+            self.state_call(Class::Transaction, Method::POST, state::TXN_PATH, encode(txn), self.state_limit).await;
+        match answer {
+            Ok(a) if a.status == 200 || a.status == 409 => match read::<state::Committed>(&a) {
+                Some(c) if a.status == 200 => TxnOutcome::Committed(c.revision),
+                Some(c) => {
+                    tracing::debug!(failed = ?c.failed, "conflict");
+                    TxnOutcome::Conflict(c.revision)
+                }
+                None => TxnOutcome::Failed(Failure::Unknown),
+            },
+            Ok(a) if a.status == 429 || a.status == 503 => TxnOutcome::Failed(Failure::NotDone),
+            Ok(a) if a.status == 400 => {
+                if a.body.windows(13).any(|w| w == b"no such lease") {
+                    TxnOutcome::NoLease
+                } else {
+                    TxnOutcome::Invalid
+                }
+            }
+            Ok(_) => TxnOutcome::Failed(Failure::Unknown),
+            Err(failure) => TxnOutcome::Failed(failure),
+        }
+    }
+
+    pub async fn orders(&self, machine: MachineId, addr: SocketAddr, orders: DirectOrders) -> Command {
+        let empty = orders.orders.is_empty();
+        let answer = self.client.call(addr, Method::POST, "/orders", encode(&orders), ORDERS_LIMIT).await;
+        let outcome = match answer {
+            Ok(a) if a.status == 200 || a.status == 409 => match read::<Report>(&a) {
+                Some(report) if a.status == 200 => OrdersOutcome::Done(report),
+                Some(report) => OrdersOutcome::Rejected(report),
+                None => OrdersOutcome::Failed(Failure::Unknown),
+            },
+            Ok(_) => OrdersOutcome::Failed(Failure::Unknown),
+            // Without commands nothing can be carried out late.
+            Err(_) if empty => OrdersOutcome::Failed(Failure::NotDone),
+            Err(failure) => OrdersOutcome::Failed(failure),
+        };
+        Command::Orders { machine, outcome }
+    }
+
+    pub async fn cloud(&self, call: u64, request: CloudCall) -> Command {
+        let outcome = self.cloud_outcome(request).await;
+        Command::Cloud { call, outcome }
+    }
+
+    async fn cloud_outcome(&self, request: CloudCall) -> CloudOutcome {
+        let class = match &request {
+            CloudCall::Delete(_) => Class::Renewal,
+            CloudCall::Rent(_) => Class::Transaction,
+            _ => Class::Read,
+        };
+        if !self.cloud_requests.acquire(1.0, class, CLOUD_LIMIT).await {
+            return CloudOutcome::Failed;
+        }
+        let (method, path, body) = match &request {
+            CloudCall::Types => (Method::GET, cloud::TYPES_PATH.to_string(), Vec::new()),
+            CloudCall::List { after } => (Method::GET, cloud::list_path(after.as_ref()), Vec::new()),
+            CloudCall::Rent(rental) => (Method::POST, cloud::RENT_PATH.to_string(), encode(rental)),
+            CloudCall::Delete(machines) => {
+                let names = cloud::MachineNames { machines: machines.clone() };
+                (Method::POST, cloud::DELETE_PATH.to_string(), encode(&names))
+            }
+        };
+        let Ok(answer) = self.client.call(self.cloud, method, &path, body, CLOUD_LIMIT).await else {
+            return CloudOutcome::Failed;
+        };
+        let got = match (&request, answer.status) {
+            (CloudCall::Types, 200) => read(&answer).map(CloudOutcome::Types),
+            (CloudCall::List { .. }, 200) => read(&answer).map(CloudOutcome::List),
+            (CloudCall::Rent(_), 200) => read(&answer).map(CloudOutcome::Rented),
+            (CloudCall::Rent(_), 503) if answer.body.windows(11).any(|w| w == b"no capacity") => {
+                Some(CloudOutcome::NoCapacity)
+            }
+            (CloudCall::Delete(_), 200) => Some(CloudOutcome::Deleted),
+            _ => None,
+        };
+        got.unwrap_or(CloudOutcome::Failed)
+    }
+}
+
+fn read_outcome<T: DeserializeOwned>(answer: Result<Answer, Failure>) -> ReadOutcome<T> {
+    match answer {
+        Ok(a) if a.status == 200 => read(&a).map_or(ReadOutcome::Failed, ReadOutcome::Got),
+        Ok(a) if a.status == 410 => ReadOutcome::TooOld,
+        _ => ReadOutcome::Failed,
+    }
+}
+
+/// Runs `call` beside everything else and hands its outcome to `done`.
+pub fn spawn<F>(call: F, done: Arc<dyn Fn(Command) + Send + std::marker::Sync>)
+where
+    F: Future<Output = Command> + Send + 'static,
+{
+    tokio::spawn(async move { done(call.await) });
+}
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,231 @@
+//! The HTTP side that users, workers and siblings see.
+
+use super::client::Client;
+use crate::coordination::{UserAnswer, UserRequest, WorkerAnswer};
+use crate::protocol::peer::{Relay, Relayed};
+use crate::protocol::user::{self, JobState, JobStatus, Refusal};
+use crate::protocol::worker::{Orders, Redirect, Report};
+use crate::protocol::{BODY_LIMIT, decode, encode};
+use crate::units::{JobId, Term};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::timeout;
+
+/// A request for the owner of all state, with the way back.
+pub enum Ask {
+    User(UserRequest, oneshot::Sender<UserAnswer>),
+    Report(Report, oneshot::Sender<WorkerAnswer>),
+}
+
+/// Users give up after 5 s and workers after 4 s.
+const ANSWER_LIMIT: Duration = Duration::from_millis(3500);
+const BODY_TIME: Duration = Duration::from_secs(5);
+const HEAD_TIME: Duration = Duration::from_secs(75);
+const RELAY_LIMIT: Duration = Duration::from_millis(1500);
+
+pub struct Gate {
+    pub asks: mpsc::Sender<Ask>,
+    pub ready: Arc<AtomicBool>,
+    pub siblings: Vec<(String, SocketAddr)>,
+    pub client: Client,
+}
+
+/// An answer before it becomes a response.
+struct Plain {
+    status: u16,
+    retry_after_s: Option<u32>,
+    body: Vec<u8>,
+}
+
+impl Plain {
+    fn new(status: u16, body: Vec<u8>) -> Plain {
+        Plain { status, retry_after_s: None, body }
+    }
+
+    fn error(status: u16, error: &str) -> Plain {
+        Plain::new(status, encode(&Refusal { error }))
+    }
+
+    fn unavailable(retry_after_s: u32) -> Plain {
+        Plain { retry_after_s: Some(retry_after_s), ..Plain::error(503, "not now") }
+    }
+
+    fn response(self) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::new(Bytes::from(self.body)));
+        *response.status_mut() = hyper::StatusCode::from_u16(self.status).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/cbor"));
+        if let Some(s) = self.retry_after_s {
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(s));
+        }
+        response
+    }
+}
+
+/// Accepts connections for as long as the process lives; at most `most` at a time.
+pub async fn serve(listener: TcpListener, gate: Arc<Gate>, most: usize, peers: bool) {
+    let room = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of sockets, mostly: wait for some to close.
+                tracing::debug!(error = %e, "accept failed");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let gate = gate.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let gate = gate.clone();
+                async move { Ok::<_, Infallible>(answer(&gate, request, peers).await.response()) }
+            });
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(32 * 1024);
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn answer(gate: &Gate, request: Request<Incoming>, peers: bool) -> Plain {
+    let method = request.method().clone();
+    let path = request.uri().path().to_string();
+    if method == Method::GET && path == "/healthz" {
+        return if gate.ready.load(Ordering::Relaxed) { Plain::new(200, encode(&true)) } else { Plain::unavailable(1) };
+    }
+    let limit = if peers { BODY_LIMIT * 2 } else { BODY_LIMIT };
+    let body = match timeout(BODY_TIME, Limited::new(request.into_body(), limit).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return Plain::error(400, "the body can't be read or is too large"),
+        Err(_) => return Plain::error(408, "the body took too long"),
+    };
+    if peers && path == "/relay" {
+        return relayed(gate, &body).await;
+    }
+    route(gate, &method, &path, &body, !peers).await
+}
+
+/// `relay`: what can't be served here may be passed to a sibling.
+async fn route(gate: &Gate, method: &Method, path: &str, body: &[u8], relay: bool) -> Plain {
+    if path == "/checkin" {
+        if method != Method::POST {
+            return Plain::error(405, "method not allowed");
+        }
+        return checkin(gate, body).await;
+    }
+    if path == "/healthz" {
+        return Plain::error(405, "method not allowed");
+    }
+    let request = if path == "/api/jobs" {
+        if method != Method::POST {
+            return Plain::error(405, "method not allowed");
+        }
+        let submission = user::submission(body);
+        if submission.id.is_none() {
+            return Plain::error(400, "malformed");
+        }
+        UserRequest::Submit(submission)
+    } else if let Some(rest) = path.strip_prefix("/api/jobs/") {
+        let (id, abort) = match rest.strip_suffix("/abort") {
+            Some(id) => (id, true),
+            None => (rest, false),
+        };
+        if id.is_empty() || id.contains('/') {
+            return Plain::error(404, "no such path");
+        }
+        if *method != if abort { Method::POST } else { Method::GET } {
+            return Plain::error(405, "method not allowed");
+        }
+        if !user::valid_id(id) {
+            return Plain::error(404, "no such job");
+        }
+        let id = JobId::new(id);
+        if abort { UserRequest::Cancel(id) } else { UserRequest::Get(id) }
+    } else {
+        return Plain::error(404, "no such path");
+    };
+    let (back, answer) = oneshot::channel();
+    if gate.asks.try_send(Ask::User(request, back)).is_err() {
+        return Plain::unavailable(2);
+    }
+    let answer = match timeout(ANSWER_LIMIT, answer).await {
+        Ok(Ok(answer)) => answer,
+        _ => return Plain::unavailable(1),
+    };
+    match answer {
+        UserAnswer::Accepted(status) => {
+            let status = JobStatus { done: None, running: None, state: JobState::Queued, ..status };
+            Plain::new(201, encode(&status))
+        }
+        UserAnswer::Status(status) => Plain::new(200, encode(&status)),
+        UserAnswer::Malformed => Plain::error(400, "malformed"),
+        UserAnswer::CanNeverRun(why) => Plain::error(422, why),
+        UserAnswer::NotFound => Plain::error(404, "no such job"),
+        UserAnswer::Unavailable { retry_after_s } => {
+            if relay && let Some(answer) = pass_on(gate, method, path, body).await {
+                return answer;
+            }
+            Plain::unavailable(retry_after_s)
+        }
+    }
+}
+
+async fn checkin(gate: &Gate, body: &[u8]) -> Plain {
+    let Ok(report) = decode::<Report>(body) else {
+        return Plain::error(400, "malformed");
+    };
+    let (back, answer) = oneshot::channel();
+    if gate.asks.send(Ask::Report(report, back)).await.is_err() {
+        return Plain::unavailable(1);
+    }
+    match timeout(ANSWER_LIMIT, answer).await {
+        Ok(Ok(WorkerAnswer::Orders(Orders { token, orders }))) => {
+            debug_assert!(token > Term(0));
+            Plain::new(200, encode(&Orders { token, orders }))
+        }
+        Ok(Ok(WorkerAnswer::Redirect(report_to))) => Plain::new(421, encode(&Redirect { report_to })),
+        _ => Plain::unavailable(1),
+    }
+}
+
+/// This controller can't reach the state service; a sibling may. Asked at once, with little
+/// patience: the user hears the refusal if no sibling can help either.
+async fn pass_on(gate: &Gate, method: &Method, path: &str, body: &[u8]) -> Option<Plain> {
+    let relay = Relay { path: path.to_string(), post: method == Method::POST, body: body.to_vec() };
+    let message = bitcode::encode(&relay);
+    for (_, addr) in &gate.siblings {
+        let answer = gate.client.call(*addr, Method::POST, "/relay", message.clone(), RELAY_LIMIT).await;
+        let Ok(answer) = answer else { continue };
+        let Ok(relayed) = bitcode::decode::<Relayed>(&answer.body) else { continue };
+        if answer.status == 200 && relayed.status != 503 {
+            return Some(Plain { status: relayed.status, retry_after_s: relayed.retry_after_s, body: relayed.body });
+        }
+    }
+    None
+}
+
+async fn relayed(gate: &Gate, body: &[u8]) -> Plain {
+    let Ok(relay) = bitcode::decode::<Relay>(body) else {
+        return Plain::error(400, "malformed");
+    };
+    let method = if relay.post { Method::POST } else { Method::GET };
+    let answer = Box::pin(route(gate, &method, &relay.path, &relay.body, false)).await;
+    let relayed = Relayed { status: answer.status, retry_after_s: answer.retry_after_s, body: answer.body };
+    Plain::new(200, bitcode::encode(&relayed))
+}
