--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -274,6 +274,9 @@
         if !live.phase.occupies() {
             return;
         }
+        if why != Why::Done {
+            tracing::debug!(job = %id, task, machine = %live.machine, phase = ?live.phase, ?why, "ended early");
+        }
         live.phase = Phase::Ended(why);
         let machine = live.machine.clone();
         let pause = match why {
@@ -311,6 +314,7 @@
         if !live.phase.occupies() || live.phase == Phase::Proposed {
             return;
         }
+        tracing::debug!(job = %id, task, machine = %live.machine, phase = ?live.phase, seq = live.seq, "proven gone");
         live.phase = Phase::Gone;
         let machine = live.machine.clone();
         job.dirty(now);
@@ -405,11 +409,7 @@
         let mut dropped: Vec<u32> = Vec::new();
         for (&task, live) in job.live.iter_mut() {
             let number = task / CHUNK_TASKS;
-            let change = match live.phase {
-                Phase::Proposed => true,
-                Phase::Ended(_) | Phase::Gone => true,
-                _ => false,
-            };
+            let change = matches!(live.phase, Phase::Proposed | Phase::Ended(_) | Phase::Gone);
             if !change {
                 continue;
             }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -700,7 +700,7 @@
 }
 
 fn count_in(each: &Room, room: &Room) -> u64 {
-    let by = |each: u64, room: u64| if each == 0 { u64::MAX } else { room / each };
+    let by = |each: u64, room: u64| room.checked_div(each).unwrap_or(u64::MAX);
     by(each.cpus, room.cpus).min(by(each.gpus, room.gpus)).min(by(each.memory, room.memory))
 }
 
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -31,6 +31,8 @@
 
 #[derive(Default)]
 pub(super) struct Machine {
+    /// Share it was last seen in.
+    share: Option<u32>,
     pub session: u64,
     /// Newest message's number in this session.
     seq: u64,
@@ -79,6 +81,19 @@
         self.doubt.is_none() && self.probes_failed == 0
     }
 
+    /// Its share was taken, or it came into another: what was known of it is void. Until now the
+    /// former owner may have been heard by it and renewed its lease.
+    fn new_owner(&mut self, now: Micros) {
+        self.fenced = false;
+        self.push = true;
+        self.heard = now;
+        self.answered = now;
+        self.doubt = None;
+        self.probes_failed = 0;
+        self.failed_jobs.clear();
+        self.strays.clear();
+    }
+
     pub fn failed_jobs(&self) -> impl Iterator<Item = &JobId> {
         self.failed_jobs.iter()
     }
@@ -166,15 +181,16 @@
             }
             Some(record) => {
                 let addr = record.value.addr.parse().ok();
+                let share = record.value.share;
                 let machine = self.machines.entry(id.clone()).or_default();
                 machine.addr = addr.or(machine.addr);
+                if machine.share != Some(share) {
+                    machine.share = Some(share);
+                    machine.new_owner(now);
+                }
                 if machine.starts.is_empty() {
                     machine.free_since.get_or_insert(now);
                 }
-                if machine.heard == Micros::ZERO {
-                    machine.heard = now;
-                    machine.answered = now;
-                }
                 // A new term or share: only reports that carry it count.
                 let token_seen = machine.token_seen;
                 let fenced = self.token(id).is_some_and(|t| token_seen >= t);
@@ -200,16 +216,7 @@
         let ids: Vec<MachineId> =
             self.replica.machines.iter().filter(|(_, m)| m.value.share == share).map(|(id, _)| id.clone()).collect();
         for id in &ids {
-            let machine = self.machines.entry(id.clone()).or_default();
-            machine.fenced = false;
-            machine.push = true;
-            // The former owner may have renewed leases until now.
-            machine.heard = now;
-            machine.answered = now;
-            machine.doubt = None;
-            machine.probes_failed = 0;
-            machine.failed_jobs.clear();
-            machine.strays.clear();
+            self.machines.entry(id.clone()).or_default().new_owner(now);
         }
         self.jobs_of_share_reset(share);
         self.pass_wanted = true;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -40,7 +40,7 @@
 
 #[derive(Clone, Debug)]
 pub enum UserRequest {
-    Submit(Submission),
+    Submit(Box<Submission>),
     Get(JobId),
     Cancel(JobId),
 }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -39,6 +39,9 @@
     }
 }
 
+/// What making room on a machine costs: a fetch first, then the time lost.
+type Loss = (bool, u64);
+
 /// A machine of one share as this round sees it.
 struct Spot {
     id: MachineId,
@@ -145,10 +148,7 @@
         if job.locked || !job.recorded || job.over.is_some() || self.held(Seat::Share(share)).is_none() {
             return;
         }
-        if !field.spots.contains_key(&share) {
-            field.spots.insert(share, self.spots_of(share));
-        }
-        let Some(mut spots) = field.spots.remove(&share) else { return };
+        let mut spots = field.spots.remove(&share).unwrap_or_else(|| self.spots_of(share));
         let mut used = match &job.spec.team {
             Some(team) => field.team_used.get(team).copied().unwrap_or_else(|| self.team_use(team)),
             None => Room::default(),
@@ -316,7 +316,6 @@
     }
 
     fn propose(&mut self, id: &JobId, task: u32, spot: &mut Spot, used: &mut Room) {
-        let now = self.now();
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.take_task(task);
         job.not_before.remove(&task);
@@ -360,7 +359,7 @@
             return;
         }
         let allowed = self.allowed(job, None);
-        let mut best: Option<((bool, u64), Vec<(JobId, u32)>)> = None;
+        let mut best: Option<(Loss, Vec<(JobId, u32)>)> = None;
         for spot in spots.iter().filter(|s| allowed(s) && !s.failed_here.contains(id)) {
             let Some(machine) = self.machines.get(&spot.id) else { continue };
             // The youngest work goes first: least is lost.
@@ -404,6 +403,7 @@
             let stop = if victim.spec.checkpoint_s > 0.0 { grace } else { 0.0 };
             if let Some(live) = victim.live.get_mut(&task) {
                 live.stop = Some(stop);
+                tracing::debug!(job = %other, task, machine = %live.machine, "makes room");
                 let machine = live.machine.clone();
                 self.want_push(&machine);
             }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -87,7 +87,7 @@
                 None if self.replica.jobs.contains_key(&id) => self.cancel(waiter, id),
                 None => self.users.next.push((waiter, Question::Cancel(id))),
             },
-            UserRequest::Submit(submission) => self.submit(waiter, submission),
+            UserRequest::Submit(submission) => self.submit(waiter, *submission),
         }
     }
 
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -140,7 +140,7 @@
         if submission.id.is_none() {
             return Plain::error(400, "malformed");
         }
-        UserRequest::Submit(submission)
+        UserRequest::Submit(Box::new(submission))
     } else if let Some(rest) = path.strip_prefix("/api/jobs/") {
         let (id, abort) = match rest.strip_suffix("/abort") {
             Some(id) => (id, true),
--- /dev/null
+++ b/tests/protocol.rs
@@ -0,0 +1,204 @@
+//! Wire messages, as the protocol page shows them.
+
+use burlhatch::protocol::cloud::{ListedState, MachineList, MachineTypes};
+use burlhatch::protocol::peer::{Relay, Relayed};
+use burlhatch::protocol::state::{Changes, Condition, Event, Page, Txn, Write};
+use burlhatch::protocol::user::{JobState, JobStatus, Kind, Priority, submission};
+use burlhatch::protocol::worker::{DirectOrders, Order, Orders, Report, TaskState, Why};
+use burlhatch::protocol::{decode, encode};
+use burlhatch::units::{JobId, Term};
+use ciborium::Value;
+use proptest::prelude::*;
+use serde_json::json;
+
+/// A message given as the page shows it, in the wire's encoding.
+fn cbor(message: serde_json::Value) -> Vec<u8> {
+    encode(&message)
+}
+
+fn shown(body: &[u8]) -> serde_json::Value {
+    decode(body).expect("valid CBOR")
+}
+
+fn example() -> serde_json::Value {
+    json!({"id":"wk-000412","lot":"train","crew":"vision","shape":"ensemble","rank":"high","pieces":16,
+        "cores":8.0,"gpus":1.0,"memory_gb":64.0,"bundle":"img-07","pull_gb":6.2,
+        "hulls":["g8"],"berth":null,"one_zone":true,"spread":false,"driftwood":true,
+        "expect_s":240.0,"stow_every_s":30.0,"stow_s":4.0,"due_s":900.0})
+}
+
+#[test]
+fn a_submission_is_read() {
+    let read = submission(&cbor(example()));
+    assert_eq!(read.id, Some(JobId::new("wk-000412")));
+    let spec = read.spec.expect("valid");
+    assert_eq!((spec.kind, spec.priority, spec.tasks), (Kind::Gang, Priority::High, 16));
+    assert_eq!((spec.cpus, spec.image_gb, spec.deadline_s), (8.0, 6.2, Some(900.0)));
+    assert_eq!((spec.types, spec.zone), (Some(vec!["g8".to_string()]), None));
+}
+
+#[test]
+fn what_may_be_null_may_be_left_out_and_unknown_fields_are_ignored() {
+    let mut message = example();
+    for field in ["crew", "hulls", "berth", "due_s"] {
+        message.as_object_mut().unwrap().remove(field);
+    }
+    message["colour"] = json!("red");
+    message["cores"] = json!(8);
+    let spec = submission(&cbor(message)).spec.expect("valid");
+    assert_eq!((spec.team, spec.types, spec.deadline_s, spec.cpus), (None, None, None, 8.0));
+}
+
+#[test]
+fn every_needed_field_is_needed_and_typed() {
+    let optional = ["id", "crew", "hulls", "berth", "due_s"];
+    let fields: Vec<String> = example().as_object().unwrap().keys().cloned().collect();
+    for field in fields.iter().filter(|f| !optional.contains(&f.as_str())) {
+        let mut missing = example();
+        missing.as_object_mut().unwrap().remove(field);
+        assert!(submission(&cbor(missing)).spec.is_none(), "{field} missing");
+    }
+    for field in &fields {
+        let mut mistyped = example();
+        mistyped[field] = json!({"a": 1});
+        let read = submission(&cbor(mistyped));
+        assert!(read.id.is_none() || read.spec.is_none(), "{field} mistyped");
+    }
+}
+
+#[test]
+fn amounts_out_of_range_are_refused() {
+    let cases = [
+        ("pieces", json!(0)),
+        ("pieces", json!(100_001)),
+        ("pieces", json!(-1)),
+        ("pieces", json!(1.5)),
+        ("cores", json!(-1.0)),
+        ("memory_gb", json!(1e12)),
+        ("bundle", json!("")),
+        ("shape", json!("blob")),
+        ("rank", json!("urgent")),
+    ];
+    for (field, value) in cases {
+        let mut message = example();
+        message[field] = value.clone();
+        assert!(submission(&cbor(message)).spec.is_none(), "{field} = {value}");
+    }
+    let endless = Value::Map(vec![(Value::Text("cores".into()), Value::Float(f64::INFINITY))]);
+    assert!(submission(&encode(&endless)).spec.is_none());
+}
+
+#[test]
+fn ids_of_another_form_are_no_ids() {
+    for id in ["", "wk-", "x-1", "wk-a b", "wk-a/b", "wk-ä"] {
+        let mut message = example();
+        message["id"] = json!(id);
+        assert!(submission(&cbor(message)).id.is_none(), "{id:?}");
+    }
+}
+
+#[test]
+fn a_report_is_read_with_all_that_may_be_missing() {
+    let report: Report = decode(&cbor(json!({"host":"m-000231","addr":"10.1.0.232:9000","hull":"g8","berth":"a",
+        "driftwood":true,"watch":1,"tally":88,"helm":41,"warning_s":null,
+        "pieces":[{"piece":"wk-000412/3","try":2,"status":"running"},
+                  {"piece":"wk-000398/0","try":1,"status":"ended","cause":"done"},
+                  {"piece":"wk-000398/1","try":1,"status":"ended","cause":"something new"}]})))
+    .expect("valid");
+    assert_eq!((report.session, report.seq, report.token), (1, 88, Term(41)));
+    assert_eq!(report.tasks[0].state, TaskState::Running);
+    assert_eq!(report.tasks[1].why, Some(Why::Done));
+    assert_eq!(report.tasks[2].why, Some(Why::Unknown));
+    let bare: Report =
+        decode(&cbor(json!({"host":"m-1","hull":"g8","berth":"a","watch":1,"tally":1,"helm":0}))).expect("valid");
+    assert!(bare.tasks.is_empty() && bare.notice_s.is_none() && !bare.spot);
+    assert_eq!(decode::<Report>(&encode(&report)).expect("round trip"), report);
+}
+
+#[test]
+fn orders_look_as_the_page_shows() {
+    let orders = vec![
+        Order::Start { task: "wk-000412/4".into(), attempt: 2 },
+        Order::Stop { task: "wk-000377/1".into(), attempt: 1, grace_s: 10.0 },
+        Order::Forget { task: "wk-000398/0".into(), attempt: 1 },
+    ];
+    let answer = Orders { token: Term(41), orders: orders.clone() };
+    assert_eq!(
+        shown(&encode(&answer)),
+        json!({"helm":41,"orders":[
+            {"verb":"launch","piece":"wk-000412/4","try":2},
+            {"verb":"stop","piece":"wk-000377/1","try":1,"leeway_s":10.0},
+            {"verb":"reap","piece":"wk-000398/0","try":1}]})
+    );
+    let direct = DirectOrders { token: Term(41), session: 1, orders };
+    assert_eq!(shown(&encode(&direct))["watch"], json!(1));
+    assert_eq!(decode::<DirectOrders>(&encode(&direct)).expect("round trip"), direct);
+}
+
+#[test]
+fn states_have_the_wires_names() {
+    let status = JobStatus { id: JobId::new("wk-1"), state: JobState::Cancelled, done: None, running: None };
+    assert_eq!(shown(&encode(&status)), json!({"id":"wk-1","status":"withdrawn"}));
+    let status = JobStatus { id: JobId::new("wk-1"), state: JobState::Running, done: Some(3), running: Some(13) };
+    assert_eq!(shown(&encode(&status)), json!({"id":"wk-1","status":"running","done":3,"running":13}));
+}
+
+#[test]
+fn a_transaction_looks_as_the_page_shows() {
+    let txn = Txn {
+        conditions: vec![Condition { key: "a/b".into(), version: 0 }],
+        writes: vec![
+            Write::Put { key: "a/b".into(), value: Value::from(5), lease: Some(7) },
+            Write::Delete { key: "c/d".into() },
+        ],
+    };
+    assert_eq!(
+        shown(&encode(&txn)),
+        json!({"if":[{"k":"a/b","mark":0}],"writes":[{"write":"a/b","v":5,"tether":7},{"remove":"c/d"}]})
+    );
+    assert_eq!(decode::<Txn>(&encode(&txn)).expect("round trip"), txn);
+}
+
+#[test]
+fn the_state_services_answers_are_read() {
+    let page: Page =
+        decode(&cbor(json!({"rows":[{"k":"c/9","v":{"x":1},"mark":412}],"more":true,"ledger":431}))).expect("valid");
+    assert_eq!((page.items[0].version, page.more, page.revision), (412, true, 431));
+    let changes: Changes =
+        decode(&cbor(json!({"ledger":433,"log":[{"write":"c/9","v":1,"mark":433},{"remove":"c/d","mark":432}]})))
+            .expect("valid");
+    let Event { put, delete, .. } = &changes.events[1];
+    assert_eq!((put, delete.as_deref()), (&None, Some("c/d")));
+    assert!(decode::<Changes>(&cbor(json!({"ledger":433}))).expect("valid").events.is_empty());
+}
+
+#[test]
+fn the_clouds_answers_are_read() {
+    let types: MachineTypes = decode(&cbor(json!({"hulls":[{"sku":"g8","cores":96,"gpus":8,"memory_gb":768,
+        "cache_gb":200,"pull_gb_per_s":1.0,"hourly":12.0,"market_price":4.5,"startup_s":45,"berths":["a","b"]}]})))
+    .expect("valid");
+    assert_eq!((types.types[0].cpus, types.types[0].spot_price), (96.0, Some(4.5)));
+    let list: MachineList = decode(&cbor(json!({"hosts":[{"id":"m-000231","addr":"10.1.0.232:9000","hull":"g8",
+        "berth":"a","driftwood":true,"status":"starting","held_s":61.5}],"more":false})))
+    .expect("valid");
+    assert_eq!((list.machines[0].state, list.machines[0].age_s), (ListedState::Booting, 61.5));
+}
+
+#[test]
+fn peer_messages_survive_the_trip() {
+    let relay = Relay { path: "/api/jobs".into(), post: true, body: vec![1, 2, 3] };
+    assert_eq!(bitcode::decode::<Relay>(&bitcode::encode(&relay)).expect("round trip"), relay);
+    let relayed = Relayed { status: 503, retry_after_s: Some(2), body: vec![] };
+    assert_eq!(bitcode::decode::<Relayed>(&bitcode::encode(&relayed)).expect("round trip"), relayed);
+}
+
+proptest! {
+    /// No outside byte may crash a controller.
+    #[test]
+    fn any_bytes_are_taken_calmly(body in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let read = submission(&body);
+        prop_assert!(read.spec.is_none() || !body.is_empty());
+        let _ = decode::<Report>(&body);
+        let _ = bitcode::decode::<Relay>(&body);
+    }
+}
