--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -80,8 +80,20 @@
         }
     }
 
+    /// When it is a job's turn among those of its priority: its deadline if it has one, else its
+    /// submission, put off the more the more work is left. With more asked than can be done, pure
+    /// order of submission makes all late; this way the small ones are on time, and as the time of
+    /// submission counts too, no large one waits for ever.
+    fn turn(&self, job: &Job) -> Micros {
+        if let Some(deadline) = job.spec.deadline_s {
+            return job.accepted + Micros::from_secs_f64(deadline);
+        }
+        let left = f64::from(job.spec.tasks.saturating_sub(job.done)) * job.spec.cpus * job.spec.estimate_s;
+        job.accepted + Micros::from_secs_f64(left * self.policy.wait_per_cpu_second_ms as f64 / 1000.0)
+    }
+
     /// Jobs of our shares that wait for a place: by priority, then those within their team's
-    /// guarantee, then by deadline, then by age.
+    /// guarantee, then by turn.
     fn waiting_in_order(&self) -> Vec<JobId> {
         let mut waiting: Vec<_> = self
             .jobs
@@ -89,8 +101,7 @@
             .filter(|(_, j)| j.recorded && !j.locked && j.waiting() > 0 && self.held(Seat::Share(j.share)).is_some())
             .map(|(id, job)| {
                 let within = self.within_guarantee(job);
-                let due = job.spec.deadline_s.map_or(Micros(u64::MAX), |d| job.accepted + Micros::from_secs_f64(d));
-                ((std::cmp::Reverse(job.spec.priority), !within, due, job.accepted), id.clone())
+                ((std::cmp::Reverse(job.spec.priority), !within, self.turn(job), job.accepted), id.clone())
             })
             .collect();
         waiting.sort();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -249,6 +249,9 @@
     holder_margin_ms: u64 = 10000, 0, 600000;
     /// Deadline assumed for a task whose job has none.
     default_slack_ms: u64 = 30000, 0, 3600000;
+    /// Among jobs of one rank a job waits behind others for this long for each cpu-second it still needs,
+    /// so that small jobs get past large ones when not all can be on time.
+    wait_per_cpu_second_ms: u64 = 200, 0, 60000;
     /// Time one round of decisions may take before it lets other work through.
     round_budget_us: u64 = 4000, 100, 1000000;
     /// Silence of a machine after which it is probed.
