--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -50,8 +50,8 @@
     /// Machines whose deletion was confirmed; late reports of theirs count for nothing.
     deleted: BTreeMap<MachineId, Micros>,
     next_plan: Micros,
-    /// Cpus (in millionths) each share lacked in the last plan.
-    need: BTreeMap<u32, u64>,
+    /// What the shares lacked in the last plan, most urgent first.
+    need: Vec<Need>,
     charters: u64,
 }
 
@@ -65,6 +65,15 @@
     untouched: bool,
 }
 
+/// Cpus (in millionths) a share lacks for work of one priority.
+#[derive(Clone, Debug)]
+struct Need {
+    share: u32,
+    priority: Priority,
+    spot: bool,
+    cpus: u64,
+}
+
 /// Tasks that found no room in the plan.
 #[derive(Clone)]
 struct Unmet {
@@ -297,7 +306,7 @@
             if ids.len() >= self.platform.deployment.state.txn_ops {
                 break;
             }
-            let share = self.neediest_share(&report.machine_type);
+            let share = self.neediest_share(&report.machine_type, report.spot);
             let record = MachineRecord {
                 share,
                 term: Term(0),
@@ -331,13 +340,11 @@
     }
 
     /// The share with the most unmet need, else the one with the least room for its teams.
-    fn neediest_share(&mut self, machine_type: &str) -> u32 {
+    fn neediest_share(&mut self, machine_type: &str, spot: bool) -> u32 {
         let cpus = self.types.get(machine_type).map_or(1_000_000, |t| t.room.cpus);
-        if let Some((&share, _)) = self.leader.need.iter().filter(|(_, n)| **n > 0).max_by_key(|(_, n)| **n) {
-            if let Some(need) = self.leader.need.get_mut(&share) {
-                *need = need.saturating_sub(cpus);
-            }
-            return share;
+        if let Some(need) = self.leader.need.iter_mut().find(|n| n.cpus > 0 && (n.spot || !spot)) {
+            need.cpus = need.cpus.saturating_sub(cpus);
+            return need.share;
         }
         let shares = self.shares();
         let mut teams = vec![0u64; shares as usize];
@@ -434,10 +441,19 @@
             self.fill(share, &mut own, &mut unmet);
             slots.insert(share, own);
         }
-        self.leader.need = BTreeMap::new();
+        // Whoever is most urgent gets what is free, what is coming, and is rented for first.
+        unmet.sort_by_key(|u| std::cmp::Reverse(u.spec.priority));
+        let mut need: Vec<Need> = Vec::new();
         for u in &unmet {
-            *self.leader.need.entry(u.share).or_default() += u.spec.room().cpus * u.count;
+            let cpus = u.spec.room().cpus * u.count;
+            let (share, priority, spot) = (u.share, u.spec.priority, u.spec.spot);
+            match need.iter_mut().find(|n| (n.share, n.priority, n.spot) == (share, priority, spot)) {
+                Some(n) => n.cpus += cpus,
+                None => need.push(Need { share, priority, spot, cpus }),
+            }
         }
+        need.sort_by_key(|n| std::cmp::Reverse((n.priority, n.cpus)));
+        self.leader.need = need;
         self.shift(&mut slots, &mut unmet);
         let mut boots = self.boot_slots();
         for u in &mut unmet {
@@ -578,10 +594,17 @@
 
     /// Machines a share doesn't need go to shares whose tasks wait.
     fn shift(&mut self, slots: &mut BTreeMap<u32, Vec<Slot>>, unmet: &mut [Unmet]) {
+        let now = self.now();
+        let patience = Micros::from_millis(self.policy.shift_after_ms);
         let mut moves = Vec::new();
         for u in unmet.iter_mut() {
+            let urgent = u.spec.priority > Priority::Normal;
+            let free_enough = |s: &Slot| {
+                let machine = s.id.as_ref().and_then(|id| self.machines.get(id));
+                urgent || machine.and_then(|m| m.free_since).is_some_and(|since| now.since(since) >= patience)
+            };
             for (from, own) in slots.iter_mut().filter(|(s, _)| **s != u.share) {
-                for slot in own.iter_mut().filter(|s| s.untouched) {
+                for slot in own.iter_mut().filter(|s| s.untouched && free_enough(s)) {
                     if u.count == 0 {
                         break;
                     }
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -383,6 +383,8 @@
         }
         if phase == Phase::Running {
             live.running_since.get_or_insert(now);
+            let age_ms = self.clock.wall.since(job.accepted).millis();
+            tracing::debug!(task = %task, machine = %id, age_ms, kind = ?job.spec.kind, "runs");
         }
         self.image_seen(id, &image, megabytes);
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -268,6 +268,9 @@
     spare_tasks: u32 = 2, 0, 1000;
     /// A machine without tasks is returned after this long.
     idle_return_ms: u64 = 40000, 0, 86400000;
+    /// A machine goes to another share's batch work only after it has been free for this long, so that its
+    /// own share's next job finds it; more urgent work gets it at once.
+    shift_after_ms: u64 = 5000, 0, 86400000;
     /// Backlog of batch work is to be worked off within this time; more machines are rented if it is not.
     drain_ms: u64 = 60000, 1000, 86400000;
     /// A refused kind of machine is not asked for again for this long.
