Probe silent machines early and replace them after 5 s

Ruled out: restart of the replicas, they ran 0.1 s after the deletion. Now probed from 1.5 s of silence on, every second, and replaced after 5 s with three probes failed.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -621,7 +621,7 @@
                 continue;
             }
             let Some(addr) = machine.addr else { continue };
-            machine.next_probe = now + Micros::from_millis(1500);
+            machine.next_probe = now + Micros::from_millis(self.policy.probe_ms);
             let session = machine.session.max(1);
             self.send_direct(id, addr, DirectOrders { token, session, orders: Vec::new() });
         }
@@ -634,7 +634,11 @@
         let after = Micros::from_millis(self.policy.replace_after_ms);
         let silent: Vec<MachineId> = ours
             .iter()
-            .filter(|id| self.machines.get(*id).is_some_and(|m| m.probes_failed > 0 && now.since(m.heard) >= after))
+            .filter(|id| {
+                self.machines
+                    .get(*id)
+                    .is_some_and(|m| m.probes_failed >= self.policy.probes_failed && now.since(m.heard) >= after)
+            })
             .cloned()
             .collect();
         let most = (ours.len() as f64 * self.policy.replace_max_part).max(1.0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -255,9 +255,13 @@
     /// Time one round of decisions may take before it lets other work through.
     round_budget_us: u64 = 4000, 100, 1000000;
     /// Silence of a machine after which it is probed.
-    probe_after_ms: u64 = 5000, 1000, 600000;
+    probe_after_ms: u64 = 1500, 100, 600000;
+    /// Pause between probes of a silent machine, and how long one may take.
+    probe_ms: u64 = 1000, 100, 60000;
+    /// Probes of a machine that must fail in a row before it is replaced.
+    probes_failed: u32 = 3, 1, 1000;
     /// Silence, with probes unanswered, after which a single machine is replaced.
-    replace_after_ms: u64 = 9000, 2000, 600000;
+    replace_after_ms: u64 = 5000, 1000, 600000;
     /// When more than this part of the machines is silent, the fault is taken to be elsewhere.
     replace_max_part: f64 = 0.25, 0.0, 1.0;
     /// Failed tasks of different jobs, without a success between, that make a machine suspect.
--- a/src/transport/calls.rs
+++ b/src/transport/calls.rs
@@ -28,6 +28,7 @@
     state_writes: Limiter,
     cloud_requests: Limiter,
     state_limit: Duration,
+    probe_limit: Duration,
     prefix: &'static str,
 }
 
@@ -48,6 +49,7 @@
             state_writes: limiter(limits.state.write_rps),
             cloud_requests: Limiter::new(limits.cloud.rps * part, limits.cloud.rps * part),
             state_limit: Duration::from_millis(policy.state_timeout_ms),
+            probe_limit: Duration::from_millis(policy.probe_ms),
             prefix: crate::bookkeeping::schema::ROOT,
         }
     }
@@ -140,7 +142,8 @@
 
     pub async fn orders(&self, machine: MachineId, addr: SocketAddr, orders: DirectOrders) -> Command {
         let empty = orders.orders.is_empty();
-        let answer = self.client.call(addr, Method::POST, "/orders", encode(&orders), ORDERS_LIMIT).await;
+        let limit = if empty { self.probe_limit } else { ORDERS_LIMIT };
+        let answer = self.client.call(addr, Method::POST, "/orders", encode(&orders), limit).await;
         let outcome = match answer {
             Ok(a) if a.status == 200 || a.status == 409 => match read::<Report>(&a) {
                 Some(report) if a.status == 200 => OrdersOutcome::Done(report),
