Let workers forget stopped tasks only once no old start can reach them

Guard against late copies of direct commands: a start repeated after 'forget' would run a stopped task again while it runs elsewhere. Exited tasks that are not done stay with the worker until the machine has shown a newer token; more than 60 of them cause a new term.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -13,6 +13,9 @@
 /// Commands in one message at most, so that it stays below the size limit.
 const ORDERS_MAX: usize = 300;
 
+/// Exited tasks a worker is left with before its machine gets a new term so that it may forget them.
+const EXITED_KEPT: usize = 60;
+
 /// An image being fetched, as far as can be told from outside.
 #[derive(Clone, Debug)]
 pub(super) struct Fetch {
@@ -26,7 +29,18 @@
 struct Stray {
     task: String,
     attempt: u64,
-    exited: bool,
+    exited: Option<Why>,
+    /// It was there when the worker first showed its present token: no command older than that
+    /// can start it again.
+    void: bool,
+}
+
+impl Stray {
+    /// Whether the worker may forget it. A late copy of a direct start would run a forgotten task
+    /// again, perhaps while it runs elsewhere; a task that is done ends at once if that happens.
+    fn forgettable(&self) -> bool {
+        self.void || self.exited == Some(Why::Done)
+    }
 }
 
 #[derive(Default)]
@@ -76,6 +90,10 @@
         self.cache.iter().any(|(i, _)| i == image)
     }
 
+    fn is_void(&self, task: &str, attempt: u64) -> bool {
+        self.strays.iter().any(|s| s.void && s.attempt == attempt && s.task == task)
+    }
+
     /// No command is in doubt and none of its probes failed since it was last heard.
     pub fn trusted(&self) -> bool {
         self.doubt.is_none() && self.probes_failed == 0
@@ -296,7 +314,7 @@
         if let Some(addr) = report.addr.as_ref().and_then(|a| a.parse().ok()) {
             machine.addr = Some(addr);
         }
-        let was_fenced = machine.fenced;
+        let first = !machine.fenced;
         machine.fenced = report.token >= token;
         if !machine.fenced {
             return;
@@ -304,18 +322,17 @@
         if machine.doubt.is_some_and(|d| report.token > d) {
             machine.doubt = None;
         }
-        if !was_fenced {
-            self.pass_wanted = true;
-        }
-        self.take_tasks(report, checkin);
+        self.pass_wanted |= first;
+        self.take_tasks(report, checkin, first);
     }
 
-    fn take_tasks(&mut self, report: &Report, checkin: bool) {
+    /// `first`: this is the first message that shows the machine's present token.
+    fn take_tasks(&mut self, report: &Report, checkin: bool, first: bool) {
         let id = &report.machine;
         let mut strays = Vec::new();
         let mut seen: BTreeSet<(JobId, u32)> = BTreeSet::new();
         for reported in &report.tasks {
-            let exited = reported.state == TaskState::Exited;
+            let exited = (reported.state == TaskState::Exited).then(|| reported.why.unwrap_or(Why::Unknown));
             let known = TaskId::parse(&reported.task).filter(|t| {
                 self.jobs
                     .get(&t.job)
@@ -323,18 +340,24 @@
                     .is_some_and(|l| l.machine == *id && l.attempt == reported.attempt && l.phase != Phase::Proposed)
             });
             let Some(task) = known else {
-                strays.push(Stray { task: reported.task.clone(), attempt: reported.attempt, exited });
+                let (task, attempt) = (reported.task.clone(), reported.attempt);
+                let void = first || self.machines.get(id).is_some_and(|m| m.is_void(&task, attempt));
+                strays.push(Stray { task, attempt, exited, void });
                 continue;
             };
             seen.insert((task.job.clone(), task.index));
-            if exited {
-                self.exit_seen(id, &task, reported.why.unwrap_or(Why::Unknown));
-            } else {
-                self.task_seen(id, &task, reported.state, report.seq);
+            match exited {
+                Some(why) => self.exit_seen(id, &task, why),
+                None => self.task_seen(id, &task, reported.state, report.seq),
             }
         }
         let Some(machine) = self.machines.get_mut(id) else { return };
+        let kept = strays.iter().filter(|s| s.exited.is_some() && !s.forgettable()).count();
         machine.strays = strays;
+        if kept > EXITED_KEPT && machine.doubt.is_none() {
+            // A new term makes them forgettable.
+            machine.doubt = Some(report.token);
+        }
         let quiet = !machine.direct && machine.doubt.is_none();
         let starts: Vec<(JobId, u32)> = machine.starts.iter().filter(|s| !seen.contains(*s)).cloned().collect();
         for (job, task) in starts {
@@ -442,9 +465,9 @@
         let may_forget = machine.doubt.is_none() && !machine.direct;
         for stray in &machine.strays {
             let (task, attempt) = (stray.task.clone(), stray.attempt);
-            if !stray.exited {
+            if stray.exited.is_none() {
                 orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
-            } else if may_forget {
+            } else if may_forget && stray.forgettable() {
                 orders.push(Order::Forget { task, attempt });
             }
         }
