--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// A gang completes as a whole: one task done means that all are, also those whose machine was
+    /// lost before it could say so.
+    fn gang_done(&self) -> bool {
+        self.spec.kind == Kind::Gang && (self.done > 0 || !self.done_unrecorded.is_empty())
+    }
+
     fn dirty(&mut self, now: Micros) {
         self.dirty_since.get_or_insert(now);
     }
@@ -327,6 +333,13 @@
             job.locked = false;
         }
         self.job_changed(id);
+        // What a refused transaction was to take out of the books still has to go.
+        let now = self.now();
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.live.values().any(|l| !l.phase.occupies())
+        {
+            job.dirty(now);
+        }
     }
 
     /// The share was taken or lost: what was believed about its jobs' starts is void.
@@ -407,6 +420,7 @@
         let gang_attempt = held.values().map(|c| c.value.attempts).max().unwrap_or(0) + 1;
         let mut left_over = false;
         let mut dropped: Vec<u32> = Vec::new();
+        let gang_done = job.gang_done();
         for (&task, live) in job.live.iter_mut() {
             let number = task / CHUNK_TASKS;
             let change = matches!(live.phase, Phase::Proposed | Phase::Ended(_) | Phase::Gone);
@@ -443,12 +457,23 @@
                 }
                 phase => {
                     chunk.starts.retain(|s| s.0 != task);
-                    if phase == Phase::Ended(Why::Done) {
+                    if phase == Phase::Ended(Why::Done) || gang_done {
                         chunk.mark_done(task);
                     }
                 }
             }
         }
+        if gang_done {
+            for task in job.redo.iter().copied().chain(job.fresh_from..job.spec.tasks) {
+                let number = task / CHUNK_TASKS;
+                if !chunks.contains_key(&number) && chunks.len() + 2 > ops_max {
+                    left_over = true;
+                    continue;
+                }
+                let held = || held.get(&number).map(|c| c.value.clone()).unwrap_or_default();
+                chunks.entry(number).or_insert_with(held).mark_done(task);
+            }
+        }
         for task in dropped {
             if let Some(live) = job.live.remove(&task)
                 && let Some(machine) = self.machines.get_mut(&live.machine)
@@ -508,6 +533,9 @@
     if job.live.values().any(|l| l.phase == Phase::Proposed) {
         return true;
     }
+    if job.over.is_none() && job.gang_done() && job.waiting() > 0 {
+        return true;
+    }
     let idle = job.live.values().all(|l| !l.phase.occupies());
     // Over, or just completed: nothing to wait for.
     let finished = job.spec.kind != Kind::Service && job.done + job.done_unrecorded.len() as u32 >= job.spec.tasks;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -80,6 +80,8 @@
     share: u32,
     spec: JobSpec,
     count: u64,
+    /// Where the job's other tasks are or will be.
+    zones: BTreeMap<String, u64>,
 }
 
 const PLAN_EVERY: Micros = Micros::from_millis(500);
@@ -457,7 +459,7 @@
         self.shift(&mut slots, &mut unmet);
         let mut boots = self.boot_slots();
         for u in &mut unmet {
-            u.count -= fit(&u.spec, u.count, &mut boots, &mut BTreeMap::new());
+            u.count -= fit(&u.spec, u.count, &mut boots, &mut u.zones);
         }
         unmet.retain(|u| u.count > 0);
         self.rent_for(&unmet);
@@ -535,7 +537,7 @@
             if left == 0 {
                 continue;
             }
-            let rest = Unmet { share, spec: (*job.spec).clone(), count: left };
+            let rest = Unmet { share, spec: (*job.spec).clone(), count: left, zones };
             if job.spec.kind == Kind::Array {
                 backlog += left as f64 * job.spec.cpus * job.spec.estimate_s.max(5.0);
                 batch.push(rest);
@@ -588,7 +590,7 @@
         spec.one_zone = false;
         let left = count - fit(&spec, count, slots, &mut BTreeMap::new());
         if left > 0 {
-            unmet.push(Unmet { share, spec, count: left });
+            unmet.push(Unmet { share, spec, count: left, zones: BTreeMap::new() });
         }
     }
 
@@ -608,7 +610,7 @@
                     if u.count == 0 {
                         break;
                     }
-                    let taken = fit(&u.spec, u.count, std::slice::from_mut(slot), &mut BTreeMap::new());
+                    let taken = fit(&u.spec, u.count, std::slice::from_mut(slot), &mut u.zones);
                     if taken > 0 {
                         u.count -= taken;
                         slot.untouched = false;
@@ -637,9 +639,10 @@
         let mut orders: BTreeMap<Offer, u32> = BTreeMap::new();
         let mut fresh: Vec<Slot> = Vec::new();
         for u in unmet {
-            let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut BTreeMap::new());
+            let mut zones = u.zones.clone();
+            let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut zones);
             while count > 0 && room_left > 0 {
-                let Some((offer, room)) = self.cheapest(&u.spec, &orders) else { break };
+                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &orders) else { break };
                 let mut slot = Slot {
                     id: None,
                     machine_type: offer.0.clone(),
@@ -648,7 +651,7 @@
                     free: room,
                     untouched: true,
                 };
-                let taken = fit(&u.spec, count, std::slice::from_mut(&mut slot), &mut BTreeMap::new());
+                let taken = fit(&u.spec, count, std::slice::from_mut(&mut slot), &mut zones);
                 if taken == 0 {
                     break;
                 }
@@ -670,15 +673,26 @@
     }
 
     /// The offer with the lowest price for each task it can hold.
-    fn cheapest(&self, spec: &JobSpec, orders: &BTreeMap<Offer, u32>) -> Option<(Offer, Room)> {
+    fn cheapest(
+        &self,
+        spec: &JobSpec,
+        zones: &BTreeMap<String, u64>,
+        orders: &BTreeMap<Offer, u32>,
+    ) -> Option<(Offer, Room)> {
         let need = spec.room();
+        let most = u64::from(spec.tasks.div_ceil(2));
+        let zone_allowed = |zone: &String| {
+            spec.zone.as_ref().is_none_or(|want| want == zone)
+                && (!spec.one_zone || zones.keys().all(|z| z == zone))
+                && (!spec.spread || zones.get(zone).copied().unwrap_or(0) < most)
+        };
         let mut best: Option<((u64, u64), Offer, Room)> = None;
         for info in self.types.values() {
             if spec.types.as_ref().is_some_and(|t| !t.contains(&info.wire.name)) || !need.fits_in(&info.room) {
                 continue;
             }
             let tasks = count_in(&need, &info.room).max(1);
-            for zone in info.wire.zones.iter().filter(|z| spec.zone.as_ref().is_none_or(|want| want == *z)) {
+            for zone in info.wire.zones.iter().filter(|z| zone_allowed(z)) {
                 for spot in [false, true] {
                     let offer = (info.wire.name.clone(), zone.clone(), spot);
                     if (spot && !spec.spot) || self.leader.refused.contains_key(&offer) {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -29,7 +29,7 @@
 struct Stray {
     task: String,
     attempt: u64,
-    exited: Option<Why>,
+    exited: bool,
     /// It was there when the worker first showed its present token: no command older than that
     /// can start it again.
     void: bool,
@@ -37,9 +37,10 @@
 
 impl Stray {
     /// Whether the worker may forget it. A late copy of a direct start would run a forgotten task
-    /// again, perhaps while it runs elsewhere; a task that is done ends at once if that happens.
+    /// again, perhaps while it runs elsewhere, after its job was cancelled or beyond its team's
+    /// limit. Even one that is done would be on the machine for a moment.
     fn forgettable(&self) -> bool {
-        self.void || self.exited == Some(Why::Done)
+        self.void
     }
 }
 
@@ -322,6 +323,10 @@
         if machine.doubt.is_some_and(|d| report.token > d) {
             machine.doubt = None;
         }
+        if first {
+            // Until it showed our token a former owner may have gone on renewing its lease.
+            machine.answered = now;
+        }
         self.pass_wanted |= first;
         self.take_tasks(report, checkin, first);
     }
@@ -342,7 +347,7 @@
             let Some(task) = known else {
                 let (task, attempt) = (reported.task.clone(), reported.attempt);
                 let void = first || self.machines.get(id).is_some_and(|m| m.is_void(&task, attempt));
-                strays.push(Stray { task, attempt, exited, void });
+                strays.push(Stray { task, attempt, exited: exited.is_some(), void });
                 continue;
             };
             seen.insert((task.job.clone(), task.index));
@@ -352,7 +357,7 @@
             }
         }
         let Some(machine) = self.machines.get_mut(id) else { return };
-        let kept = strays.iter().filter(|s| s.exited.is_some() && !s.forgettable()).count();
+        let kept = strays.iter().filter(|s| s.exited && !s.forgettable()).count();
         machine.strays = strays;
         if kept > EXITED_KEPT && machine.doubt.is_none() {
             // A new term makes them forgettable.
@@ -465,7 +470,7 @@
         let may_forget = machine.doubt.is_none() && !machine.direct;
         for stray in &machine.strays {
             let (task, attempt) = (stray.task.clone(), stray.attempt);
-            if stray.exited.is_none() {
+            if !stray.exited {
                 orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
             } else if may_forget && stray.forgettable() {
                 orders.push(Order::Forget { task, attempt });
@@ -664,6 +669,17 @@
             })
             .cloned()
             .collect();
+        // Never heard since we took the share, for longer than a lease: nothing but a deletion can
+        // prove its tasks gone, however many are silent.
+        let lease = Micros::from_secs_f64(self.platform.deployment.workers.lease_s * 1.002 + 2.0);
+        let lost: Vec<MachineId> = silent
+            .iter()
+            .filter(|id| self.machines.get(*id).is_some_and(|m| !m.fenced && now.since(m.heard) >= lease))
+            .cloned()
+            .collect();
+        for id in &lost {
+            self.set_hold(id, Hold::Doomed);
+        }
         let most = (ours.len() as f64 * self.policy.replace_max_part).max(1.0);
         if silent.is_empty() || silent.len() as f64 > most {
             return;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -22,7 +22,7 @@
 use crate::units::{JobId, MachineId, Micros, Room};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -188,7 +188,7 @@
     txns: txns::Txns,
     users: users::Users,
     jobs: BTreeMap<JobId, jobs::Job>,
-    machines: HashMap<MachineId, machines::Machine>,
+    machines: BTreeMap<MachineId, machines::Machine>,
     /// Reports of machines that are just being taken into the books.
     unbooked: Vec<(Micros, Waiter, Report)>,
     types: BTreeMap<String, TypeInfo>,
@@ -223,7 +223,7 @@
             txns: txns::Txns::default(),
             users: users::Users::default(),
             jobs: BTreeMap::new(),
-            machines: HashMap::new(),
+            machines: BTreeMap::new(),
             unbooked: Vec::new(),
             types: BTreeMap::new(),
             types_asked: Micros::ZERO,
--- /dev/null
+++ b/tests/world/cloud.rs
@@ -0,0 +1,144 @@
+//! The cloud: rents machines, lists them late.
+
+use super::{Event, S, World};
+use burlhatch::coordination::{CloudCall, CloudOutcome};
+use burlhatch::protocol::cloud::{ListedMachine, ListedState, MachineList, MachineNames, MachineType, MachineTypes};
+use burlhatch::units::MachineId;
+use std::collections::BTreeMap;
+
+const LAG: u64 = 4 * S;
+
+pub struct Rented {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    since: u64,
+    state: ListedState,
+    gone_at: Option<u64>,
+}
+
+pub struct Cloud {
+    pub machines: BTreeMap<MachineId, Rented>,
+    charters: BTreeMap<String, Vec<MachineId>>,
+    next: u64,
+    /// Most machines at a time.
+    pub capacity: usize,
+}
+
+impl Cloud {
+    pub fn new() -> Cloud {
+        Cloud { machines: BTreeMap::new(), charters: BTreeMap::new(), next: 0, capacity: 14 }
+    }
+
+    pub fn failed(&mut self, id: &MachineId) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.state = ListedState::Failed;
+        }
+    }
+
+    fn used(&self) -> usize {
+        self.machines.values().filter(|m| m.gone_at.is_none()).count()
+    }
+}
+
+pub fn cpus_of(machine_type: &str) -> f64 {
+    if machine_type == "small" { 4.0 } else { 8.0 }
+}
+
+impl World {
+    pub fn boot(&mut self, machine_type: &str, zone: &str, spot: bool, delay: u64) -> MachineId {
+        self.cloud.next += 1;
+        let id = MachineId::new(&format!("m-{:06}", self.cloud.next));
+        let rented = Rented {
+            machine_type: machine_type.into(),
+            zone: zone.into(),
+            spot,
+            since: self.now,
+            state: ListedState::Booting,
+            gone_at: None,
+        };
+        self.cloud.machines.insert(id.clone(), rented);
+        self.at(delay, Event::Boots { machine: id.clone() });
+        id
+    }
+
+    pub(super) fn cloud_request(&mut self, request: CloudCall) -> CloudOutcome {
+        match request {
+            CloudCall::Types => {
+                let kind = |name: &str, cpus: f64, price: f64| MachineType {
+                    name: name.into(),
+                    cpus,
+                    gpus: 0.0,
+                    memory_gb: 32.0,
+                    cache_gb: 10.0,
+                    fetch_gb_per_s: 0.2,
+                    price,
+                    spot_price: Some(price / 3.0),
+                    boot_s: 10.0,
+                    zones: vec!["a".into(), "b".into()],
+                };
+                CloudOutcome::Types(MachineTypes { types: vec![kind("small", 4.0, 0.2), kind("large", 8.0, 0.4)] })
+            }
+            CloudCall::Rent(rental) => {
+                if let Some(names) = self.cloud.charters.get(&rental.request) {
+                    return CloudOutcome::Rented(MachineNames { machines: names.clone() });
+                }
+                let room = self.cloud.capacity.saturating_sub(self.cloud.used());
+                if room == 0 {
+                    return CloudOutcome::NoCapacity;
+                }
+                let mut names = Vec::new();
+                for _ in 0..room.min(rental.count as usize) {
+                    let never = self.chance(15);
+                    let delay = if never { 1_000_000 * S } else { 6 * S + self.pick(9 * S) };
+                    names.push(self.boot(&rental.machine_type, &rental.zone, rental.spot, delay));
+                }
+                self.cloud.charters.insert(rental.request, names.clone());
+                CloudOutcome::Rented(MachineNames { machines: names })
+            }
+            CloudCall::Delete(ids) => {
+                for id in ids {
+                    if let Some(machine) = self.cloud.machines.get_mut(&id) {
+                        machine.gone_at.get_or_insert(self.now);
+                        self.workers.remove(&id);
+                    }
+                }
+                CloudOutcome::Deleted
+            }
+            CloudCall::List { after } => {
+                let lag = LAG + self.pick(LAG);
+                let then = self.now.saturating_sub(lag);
+                let machines = self
+                    .cloud
+                    .machines
+                    .iter()
+                    .filter(|(id, m)| {
+                        after.as_ref().is_none_or(|a| *id > a)
+                            && m.since <= then
+                            && m.gone_at.is_none_or(|at| at > then)
+                    })
+                    .map(|(id, m)| ListedMachine {
+                        id: id.clone(),
+                        addr: None,
+                        machine_type: m.machine_type.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                        state: m.state,
+                        age_s: (then - m.since) as f64 / 1e6,
+                    })
+                    .collect();
+                CloudOutcome::List(MachineList { machines, more: false })
+            }
+        }
+    }
+
+    pub(super) fn machine_up(&mut self, machine: MachineId) {
+        let Some(rented) = self.cloud.machines.get_mut(&machine) else { return };
+        if rented.gone_at.is_some() {
+            return;
+        }
+        rented.state = ListedState::Running;
+        let (machine_type, zone, spot) = (rented.machine_type.clone(), rented.zone.clone(), rented.spot);
+        self.start_worker(machine, machine_type, zone, spot);
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,724 @@
+//! A simulated world, written from the protocol page: state service, cloud, workers, users and
+//! the network between them. It drives the pure cores of several controllers on simulated time
+//! and fixed seeds, breaks things, and checks the protocol's rules after every step.
+
+mod cloud;
+mod state;
+mod worker;
+
+use burlhatch::bookkeeping::schema::ROOT;
+use burlhatch::coordination::{
+    Clock, CloudCall, CloudOutcome, Command, Core, Effect, Failure, OrdersOutcome, ReadOutcome, StateCall, TxnOutcome,
+    UserAnswer, UserRequest, WorkerAnswer,
+};
+use burlhatch::protocol::user::{JobSpec, JobState, Kind, Priority, Submission};
+use burlhatch::protocol::worker::{DirectOrders, Report};
+use burlhatch::settings::{Platform, Policy};
+use burlhatch::units::{JobId, MachineId, Micros};
+use cloud::Cloud;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use state::State;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use worker::Worker;
+
+pub const MS: u64 = 1_000;
+pub const S: u64 = 1_000_000;
+pub const NODES: usize = 3;
+pub const CANCEL_S: u64 = 40;
+
+fn settings(node: usize) -> String {
+    let mut text =
+        format!("label = \"node-{node}\"\npublic_addr = \"10.0.0.{0}:8080\"\nback = \"10.0.0.{0}:8081\"\n", node + 1);
+    for other in (0..NODES).filter(|n| *n != node) {
+        text += &format!("[[siblings]]\nlabel = \"node-{other}\"\naddress = \"10.0.0.{}:8081\"\n", other + 1);
+    }
+    text +=
+        "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[deployment]\nnodes = 3\nzones = [\"a\", \"b\"]\n";
+    for (team, cpus, most) in [("red", 4.0, 12.0), ("blue", 4.0, 10.0), ("green", 8.0, 0.0)] {
+        text += &format!("[[deployment.teams]]\nname = \"{team}\"\ncpus = {cpus}\ncpus_max = {most}\n");
+    }
+    text += &format!(
+        "[deployment.workers]\nreport_s = 3.0\nlease_s = 20.0\ngang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = {CANCEL_S}.0\n\
+         [deployment.state]\nrps = 200.0\nwrite_rps = 50.0\nvalue_kb = 4.0\ntxn_ops = 12\n\
+         [deployment.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n[deployment.quota]\nfd_limit = 1000\n"
+    );
+    text
+}
+
+/// Ends of a connection.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    Node(usize),
+    State,
+    Cloud,
+    Worker(MachineId),
+}
+
+/// No traffic between places the two tests match, until `until`.
+struct Cut {
+    between: Box<dyn Fn(&Place, &Place) -> bool>,
+    until: u64,
+    /// Held packets arrive when it ends; otherwise connections are reset.
+    hold: bool,
+}
+
+enum Fate {
+    Arrives(u64),
+    /// Arrives late; whoever sent it has given up by then.
+    Held(u64),
+    Refused,
+}
+
+enum Event {
+    Tick(usize, u64),
+    /// A request reaches a service; `call` names it for the answer.
+    State {
+        node: usize,
+        life: u64,
+        call: u64,
+        request: StateCall,
+    },
+    Cloud {
+        node: usize,
+        life: u64,
+        call: u64,
+        number: u64,
+        request: CloudCall,
+    },
+    Orders {
+        node: usize,
+        life: u64,
+        call: u64,
+        machine: MachineId,
+        orders: DirectOrders,
+    },
+    /// An answer, or the moment the caller gives up, whichever comes first.
+    Outcome {
+        node: usize,
+        life: u64,
+        call: u64,
+        command: Command,
+    },
+    WatchEnds {
+        call: u64,
+    },
+    Report {
+        node: usize,
+        report: Report,
+        serial: u64,
+    },
+    ReportAnswer {
+        machine: MachineId,
+        serial: u64,
+        answer: Option<WorkerAnswer>,
+    },
+    WorkerReports {
+        machine: MachineId,
+        wake: u64,
+    },
+    WorkerStep {
+        machine: MachineId,
+    },
+    Boots {
+        machine: MachineId,
+    },
+    Users,
+    Restart(usize),
+}
+
+struct Node {
+    core: Option<Core>,
+    life: u64,
+    began: u64,
+    drift: f64,
+    next_waiter: u64,
+    users: BTreeMap<u64, Asked>,
+    workers: BTreeMap<u64, (MachineId, u64)>,
+}
+
+enum Asked {
+    Submit(JobId),
+    Get(JobId),
+    Cancel(JobId),
+    Stranger,
+}
+
+/// What the users know of a job.
+pub struct UserJob {
+    pub spec: JobSpec,
+    pub submitted: u64,
+    pub accepted: bool,
+    pub cancel_at: Option<u64>,
+    pub cancelled: Option<u64>,
+    pub told: Option<JobState>,
+    pub done_tasks: Vec<bool>,
+    last_asked: u64,
+}
+
+pub struct World {
+    pub now: u64,
+    rng: SmallRng,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    nodes: Vec<Node>,
+    state: State,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<MachineId, Worker>,
+    cuts: Vec<Cut>,
+    open_calls: BTreeMap<u64, ()>,
+    next_call: u64,
+    next_serial: u64,
+    pub jobs: BTreeMap<JobId, UserJob>,
+    pub violations: Vec<String>,
+    pub started: u64,
+    pub policy: Policy,
+    /// Late copies of direct orders and transactions, one in so many.
+    copies: u32,
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        World::with_policy(seed, Policy::default())
+    }
+
+    pub fn with_policy(seed: u64, policy: Policy) -> World {
+        let rng = SmallRng::seed_from_u64(seed);
+        let mut world = World {
+            now: S,
+            rng,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            nodes: Vec::new(),
+            state: State::default(),
+            cloud: Cloud::new(),
+            workers: BTreeMap::new(),
+            cuts: Vec::new(),
+            open_calls: BTreeMap::new(),
+            next_call: 0,
+            next_serial: 0,
+            jobs: BTreeMap::new(),
+            violations: Vec::new(),
+            started: 0,
+            policy,
+            copies: 20,
+        };
+        for i in 0..NODES {
+            let drift = 1.0 + world.rng.random_range(-0.0005..0.0005);
+            let node = Node {
+                core: None,
+                life: 0,
+                began: 0,
+                drift,
+                next_waiter: 0,
+                users: BTreeMap::new(),
+                workers: BTreeMap::new(),
+            };
+            world.nodes.push(node);
+            world.at(10 * MS * i as u64, Event::Restart(i));
+        }
+        for i in 0..5 {
+            let zone = if i % 2 == 0 { "a" } else { "b" };
+            world.boot("small", zone, false, 0);
+        }
+        world.at(0, Event::Users);
+        world
+    }
+
+    fn at(&mut self, delay: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((self.now + delay, self.next_event)));
+    }
+
+    pub fn chance(&mut self, one_in: u32) -> bool {
+        self.rng.random_range(0..one_in) == 0
+    }
+
+    pub fn pick(&mut self, below: u64) -> u64 {
+        self.rng.random_range(0..below)
+    }
+
+    // ---- troubles -------------------------------------------------------------------------
+
+    pub fn crash(&mut self, node: usize, back_after: u64) {
+        self.nodes[node].core = None;
+        self.nodes[node].life += 1;
+        // Workers and users on its connections see a reset.
+        let lost: Vec<_> = std::mem::take(&mut self.nodes[node].workers).into_values().collect();
+        for (machine, serial) in lost {
+            self.at(MS, Event::ReportAnswer { machine, serial, answer: None });
+        }
+        self.nodes[node].users.clear();
+        self.at(back_after, Event::Restart(node));
+    }
+
+    pub fn cut(&mut self, duration: u64, hold: bool, between: impl Fn(&Place, &Place) -> bool + 'static) {
+        let until = self.now + duration;
+        self.cuts.push(Cut { between: Box::new(between), until, hold });
+    }
+
+    pub fn state_outage(&mut self, duration: u64) {
+        self.state.down_until = self.now + duration;
+        self.state.prolong_leases(self.now + duration);
+    }
+
+    pub fn refuse_node(&mut self, node: usize, duration: u64) {
+        self.state.refused.insert(node, self.now + duration);
+    }
+
+    pub fn hang(&mut self, nth: usize, duration: u64) {
+        if let Some(id) = self.nth_worker(nth) {
+            let until = self.now + duration;
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.hung_until = until;
+            }
+        }
+    }
+
+    pub fn kill_machine(&mut self, nth: usize) {
+        if let Some(id) = self.nth_worker(nth) {
+            self.workers.remove(&id);
+            self.cloud.failed(&id);
+        }
+    }
+
+    pub fn sicken(&mut self, nth: usize) {
+        if let Some(id) = self.nth_worker(nth)
+            && let Some(worker) = self.workers.get_mut(&id)
+        {
+            worker.sick = true;
+        }
+    }
+
+    pub fn nth_worker(&self, nth: usize) -> Option<MachineId> {
+        let up: Vec<_> = self.workers.keys().cloned().collect();
+        if up.is_empty() { None } else { Some(up[nth % up.len()].clone()) }
+    }
+
+    // ---- network --------------------------------------------------------------------------
+
+    fn fate(&mut self, from: &Place, to: &Place) -> Fate {
+        let now = self.now;
+        self.cuts.retain(|c| c.until > now);
+        let delay = self.rng.random_range(MS / 2..5 * MS);
+        if let Some(cut) = self.cuts.iter().find(|c| (c.between)(from, to) || (c.between)(to, from)) {
+            let late = cut.until - now + delay;
+            let hold = cut.hold;
+            return if hold && self.chance(2) { Fate::Held(late) } else { Fate::Refused };
+        }
+        Fate::Arrives(delay)
+    }
+
+    /// Sends a request; `timeout` is the command for the caller if no answer comes in time.
+    fn call(
+        &mut self,
+        node: usize,
+        to: Place,
+        limit: u64,
+        event: impl Fn(u64) -> Event,
+        fail: impl Fn(Failure) -> Command,
+    ) {
+        self.next_call += 1;
+        let call = self.next_call;
+        self.open_calls.insert(call, ());
+        let life = self.nodes[node].life;
+        match self.fate(&Place::Node(node), &to) {
+            Fate::Arrives(delay) => {
+                self.at(delay, event(call));
+                self.at(limit, Event::Outcome { node, life, call, command: fail(Failure::Unknown) });
+                if self.copies > 0 && matches!(to, Place::State | Place::Worker(_)) && self.chance(self.copies) {
+                    let late = self.rng.random_range(0..60 * S);
+                    self.at(late, event(call));
+                }
+            }
+            Fate::Held(late) => {
+                self.at(late, event(call));
+                self.at(limit, Event::Outcome { node, life, call, command: fail(Failure::Unknown) });
+            }
+            Fate::Refused => {
+                self.at(limit.min(S), Event::Outcome { node, life, call, command: fail(Failure::NotDone) });
+            }
+        }
+    }
+
+    fn reply(&mut self, from: Place, node: usize, life: u64, call: u64, command: Command) {
+        if let Fate::Arrives(delay) = self.fate(&from, &Place::Node(node)) {
+            self.at(delay, Event::Outcome { node, life, call, command });
+        }
+    }
+
+    // ---- controllers ----------------------------------------------------------------------
+
+    fn clock(&self, node: usize) -> Clock {
+        let n = &self.nodes[node];
+        Clock {
+            steady: Micros(((self.now - n.began) as f64 * n.drift) as u64 + 1),
+            wall: Micros(1_700_000_000 * S + self.now + node as u64 * 20 * MS),
+        }
+    }
+
+    fn feed(&mut self, node: usize, command: Command) {
+        let clock = self.clock(node);
+        let _at = tracing::debug_span!("at", ms = self.now / MS, node).entered();
+        let Some(core) = self.nodes[node].core.as_mut() else { return };
+        core.handle(clock, command);
+        let mut looks = 50;
+        let effects = core.round(clock, &mut || {
+            looks -= 1;
+            looks > 0
+        });
+        for effect in effects {
+            self.carry_out(node, effect);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, effect: Effect) {
+        let life = self.nodes[node].life;
+        match effect {
+            Effect::AnswerUser(waiter, answer) => self.user_answer(node, waiter, answer),
+            Effect::AnswerWorker(waiter, answer) => {
+                if let Some((machine, serial)) = self.nodes[node].workers.remove(&waiter) {
+                    let fate = self.fate(&Place::Node(node), &Place::Worker(machine.clone()));
+                    match fate {
+                        Fate::Arrives(delay) | Fate::Held(delay) => {
+                            self.at(delay, Event::ReportAnswer { machine, serial, answer: Some(answer) });
+                        }
+                        Fate::Refused => self.at(MS, Event::ReportAnswer { machine, serial, answer: None }),
+                    }
+                }
+            }
+            Effect::State(request) => {
+                let limit = match &request {
+                    StateCall::Changes { wait_ms, .. } => wait_ms * MS + 1500 * MS,
+                    _ => 1500 * MS,
+                };
+                let shape = request.clone();
+                self.call(
+                    node,
+                    Place::State,
+                    limit,
+                    |call| Event::State { node, life, call, request: request.clone() },
+                    |failure| state::failed(&shape, failure),
+                );
+            }
+            Effect::Cloud { call: number, request } => self.call(
+                node,
+                Place::Cloud,
+                5 * S,
+                |call| Event::Cloud { node, life, call, number, request: request.clone() },
+                |_| Command::Cloud { call: number, outcome: CloudOutcome::Failed },
+            ),
+            Effect::Orders { machine, orders, .. } => {
+                let id = machine.clone();
+                let empty = orders.orders.is_empty();
+                self.call(
+                    node,
+                    Place::Worker(machine.clone()),
+                    2500 * MS,
+                    |call| Event::Orders { node, life, call, machine: machine.clone(), orders: orders.clone() },
+                    |failure| {
+                        let failure = if empty { Failure::NotDone } else { failure };
+                        Command::Orders { machine: id.clone(), outcome: OrdersOutcome::Failed(failure) }
+                    },
+                );
+            }
+        }
+    }
+
+    // ---- users ----------------------------------------------------------------------------
+
+    pub fn submit(&mut self, number: u64, spec: JobSpec) -> JobId {
+        let id = JobId::new(&format!("wk-{number:06}"));
+        let tasks = spec.tasks as usize;
+        self.jobs.insert(
+            id.clone(),
+            UserJob {
+                spec,
+                submitted: self.now,
+                accepted: false,
+                cancel_at: None,
+                cancelled: None,
+                told: None,
+                done_tasks: vec![false; tasks],
+                last_asked: 0,
+            },
+        );
+        id
+    }
+
+    pub fn spec(kind: Kind, team: &str, tasks: u32, cpus: f64) -> JobSpec {
+        JobSpec {
+            class: "any".into(),
+            team: Some(team.into()),
+            kind,
+            priority: if kind == Kind::Service { Priority::Production } else { Priority::Normal },
+            tasks,
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: format!("img-{}", tasks % 3),
+            image_gb: 0.2,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: kind == Kind::Array,
+            estimate_s: if kind == Kind::Service { 0.0 } else { 5.0 },
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    fn ask(&mut self, asked: Asked, request: UserRequest) {
+        let node = self.rng.random_range(0..NODES);
+        let ready = self.nodes[node].core.as_ref().is_some_and(Core::is_ready);
+        if !ready {
+            return;
+        }
+        self.nodes[node].next_waiter += 1;
+        let waiter = self.nodes[node].next_waiter;
+        self.nodes[node].users.insert(waiter, asked);
+        self.feed(node, Command::User(waiter, request));
+    }
+
+    fn users_step(&mut self) {
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let now = self.now;
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if job.submitted > now || now < job.last_asked + S {
+                continue;
+            }
+            let cancel = job.cancel_at.is_some_and(|at| at <= now) && job.cancelled.is_none() && job.accepted;
+            let over = job.told.is_some();
+            if !job.accepted || (!over && cancel) || now >= job.last_asked + 5 * S {
+                job.last_asked = now;
+                let spec = job.spec.clone();
+                let accepted = job.accepted;
+                // Repeats of an accepted submission may come at any time.
+                let again = accepted && self.chance(10);
+                if !accepted || again {
+                    let submission = Submission { id: Some(id.clone()), spec: Some(spec) };
+                    self.ask(Asked::Submit(id.clone()), UserRequest::Submit(Box::new(submission)));
+                } else if cancel {
+                    self.ask(Asked::Cancel(id.clone()), UserRequest::Cancel(id.clone()));
+                } else {
+                    self.ask(Asked::Get(id.clone()), UserRequest::Get(id.clone()));
+                }
+            }
+        }
+        if self.chance(20) {
+            self.ask(Asked::Stranger, UserRequest::Get(JobId::new("wk-999999")));
+        }
+        self.at(250 * MS, Event::Users);
+    }
+
+    fn user_answer(&mut self, node: usize, waiter: u64, answer: UserAnswer) {
+        let Some(asked) = self.nodes[node].users.remove(&waiter) else { return };
+        let (id, cancels) = match asked {
+            Asked::Stranger => {
+                if matches!(answer, UserAnswer::Status(_) | UserAnswer::Accepted(_)) {
+                    self.broken("invented: a stranger's job is known".into());
+                }
+                return;
+            }
+            Asked::Cancel(id) => (id, true),
+            Asked::Submit(id) | Asked::Get(id) => (id, false),
+        };
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let mut broken = Vec::new();
+        match answer {
+            UserAnswer::Accepted(status) | UserAnswer::Status(status) => {
+                job.accepted = true;
+                if status.state == JobState::Done && job.done_tasks.iter().any(|d| !d) {
+                    broken.push(format!("not_done: {id} is called done"));
+                }
+                if status.state == JobState::Cancelled && job.cancel_at.is_none_or(|at| at > now) {
+                    broken.push(format!("went_back: {id} was not cancelled by its user"));
+                }
+                if job.told.is_some_and(|told| told != status.state) {
+                    broken.push(format!("went_back: {id} was {:?}, is {:?}", job.told, status.state));
+                }
+                if matches!(status.state, JobState::Done | JobState::Cancelled) {
+                    job.told = Some(status.state);
+                }
+                if status.state == JobState::Cancelled && job.cancelled.is_none() {
+                    job.cancelled = Some(now);
+                }
+                if cancels && !matches!(status.state, JobState::Done | JobState::Cancelled) {
+                    broken.push(format!("a cancellation of {id} was answered {:?}", status.state));
+                }
+            }
+            UserAnswer::NotFound | UserAnswer::Malformed | UserAnswer::CanNeverRun(_) => {
+                if job.accepted {
+                    broken.push(format!("forgotten: {id} is answered {answer:?}"));
+                }
+            }
+            UserAnswer::Unavailable { .. } => {}
+        }
+        self.violations.extend(broken);
+    }
+
+    pub fn broken(&mut self, what: String) {
+        let at = self.now as f64 / 1e6;
+        self.violations.push(format!("{at:.3} s: {what}"));
+    }
+
+    // ---- running --------------------------------------------------------------------------
+
+    pub fn run_until(&mut self, until: u64) {
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = at.max(self.now);
+            if let Some(event) = self.events.remove(&number) {
+                self.handle(event);
+            }
+        }
+        self.now = until;
+    }
+
+    pub fn run_for(&mut self, span: u64) {
+        self.run_until(self.now + span);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Restart(i) => {
+                let seed = self.rng.random();
+                let platform = Platform::parse(&settings(i)).expect("valid settings");
+                let node = &mut self.nodes[i];
+                if node.core.is_some() {
+                    return;
+                }
+                node.life += 1;
+                node.began = self.now;
+                node.core = Some(Core::new(Arc::new(platform), Arc::new(self.policy.clone()), seed));
+                let life = node.life;
+                self.at(0, Event::Tick(i, life));
+            }
+            Event::Tick(i, life) => {
+                if self.nodes[i].life == life && self.nodes[i].core.is_some() {
+                    self.feed(i, Command::Tick);
+                    self.at(50 * MS, Event::Tick(i, life));
+                }
+            }
+            Event::Outcome { node, life, call, command } => {
+                if self.open_calls.remove(&call).is_some() && self.nodes[node].life == life {
+                    self.feed(node, command);
+                }
+            }
+            Event::State { node, life, call, request } => self.state_request(node, life, call, request),
+            Event::WatchEnds { call } => {
+                if let Some(watch) = self.state.watches.remove(&call) {
+                    let changes = self.state.changes(watch.after);
+                    let outcome = ReadOutcome::Got(changes);
+                    let command = Command::Changes { kind: watch.kind, outcome };
+                    self.reply(Place::State, watch.node, watch.life, call, command);
+                }
+            }
+            Event::Cloud { node, life, call, number, request } => {
+                let outcome = self.cloud_request(request);
+                let command = Command::Cloud { call: number, outcome };
+                self.reply(Place::Cloud, node, life, call, command);
+            }
+            Event::Boots { machine } => self.machine_up(machine),
+            Event::Orders { node, life, call, machine, orders } => {
+                self.worker_orders(node, life, call, machine, orders);
+            }
+            Event::Report { node, report, serial } => {
+                let machine = report.machine.clone();
+                if self.nodes[node].core.is_none() {
+                    self.at(MS, Event::ReportAnswer { machine, serial, answer: None });
+                    return;
+                }
+                self.nodes[node].next_waiter += 1;
+                let waiter = self.nodes[node].next_waiter;
+                self.nodes[node].workers.insert(waiter, (machine, serial));
+                self.feed(node, Command::Report(waiter, report));
+            }
+            Event::ReportAnswer { machine, serial, answer } => self.report_answer(machine, serial, answer),
+            Event::WorkerReports { machine, wake } => self.worker_reports(machine, wake),
+            Event::WorkerStep { machine } => self.worker_step(machine),
+            Event::Users => self.users_step(),
+        }
+    }
+
+    fn state_request(&mut self, node: usize, life: u64, call: u64, request: StateCall) {
+        let now = self.now;
+        let refused = now < self.state.down_until || self.state.refused.get(&node).is_some_and(|t| *t > now);
+        if refused {
+            let command = match &request {
+                StateCall::Txn { ticket, .. } => {
+                    Command::Txn { ticket: *ticket, outcome: TxnOutcome::Failed(Failure::NotDone) }
+                }
+                other => state::failed(other, Failure::NotDone),
+            };
+            return self.reply(Place::State, node, life, call, command);
+        }
+        self.state.expire(now);
+        if let StateCall::Changes { kind, after, wait_ms } = &request
+            && *wait_ms > 0
+            && self.state.changes(*after).events.is_empty()
+        {
+            self.state.watches.insert(call, state::Watch { node, life, kind: *kind, after: *after });
+            return self.at(wait_ms * MS, Event::WatchEnds { call });
+        }
+        let command = self.state.answer(now, &request);
+        self.reply(Place::State, node, life, call, command);
+        self.wake_watches();
+    }
+
+    fn wake_watches(&mut self) {
+        let due: Vec<u64> = self
+            .state
+            .watches
+            .iter()
+            .filter(|(_, w)| !self.state.changes(w.after).events.is_empty())
+            .map(|(call, _)| *call)
+            .collect();
+        for call in due {
+            if let Some(watch) = self.state.watches.remove(&call) {
+                let changes = self.state.changes(watch.after);
+                let command = Command::Changes { kind: watch.kind, outcome: ReadOutcome::Got(changes) };
+                self.reply(Place::State, watch.node, watch.life, call, command);
+            }
+        }
+    }
+
+    /// Everything the state service holds, for checks of the books.
+    pub fn books(&self) -> Vec<String> {
+        self.state.keys.keys().filter(|k| k.starts_with(ROOT)).cloned().collect()
+    }
+
+    pub fn all_over(&self) -> bool {
+        self.jobs.values().all(|j| j.told.is_some())
+    }
+
+    pub fn unfinished(&self) -> Vec<String> {
+        let open = self.jobs.iter().filter(|(_, j)| j.told.is_none());
+        open.map(|(id, j)| {
+            let places: Vec<_> = self
+                .workers
+                .iter()
+                .flat_map(|(m, w)| w.tasks.iter().filter(|(k, _)| k.0 == *id).map(move |(k, t)| (m, k.1, t)))
+                .collect();
+            let records: Vec<_> =
+                self.state.keys.iter().filter(|(k, _)| k.contains(id.as_str())).map(|(k, v)| (k, &v.0)).collect();
+            format!(
+                "{id} {:?} done {:?} cancelled {:?} at {places:?} books {records:?}",
+                j.spec, j.done_tasks, j.cancel_at
+            )
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/tests/world/worker.rs
@@ -0,0 +1,471 @@
+//! Workers: obey the highest token, keep a lease, run tasks. Here the rules about starts are
+//! checked, with the knowledge of all machines that no controller has.
+
+use super::cloud::cpus_of;
+use super::{CANCEL_S, Event, Fate, MS, NODES, Place, S, World};
+use burlhatch::coordination::{Command, OrdersOutcome, WorkerAnswer};
+use burlhatch::protocol::user::Kind;
+use burlhatch::protocol::worker::{DirectOrders, Order, Report, ReportedTask, TaskState, Why};
+use burlhatch::units::{JobId, MachineId, TaskId, Term};
+use std::collections::BTreeMap;
+
+const LEASE: u64 = 20 * S;
+const REPORT: u64 = 3 * S;
+const GANG_WAIT: u64 = 30 * S;
+
+#[derive(Clone, Debug)]
+pub struct Task {
+    attempt: u64,
+    state: TaskState,
+    why: Option<Why>,
+    /// When its next step is due.
+    due: u64,
+    since: u64,
+}
+
+pub struct Worker {
+    machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    session: u64,
+    seq: u64,
+    token: Term,
+    /// When the last answered report was sent, or the session began.
+    renewed: u64,
+    pub tasks: BTreeMap<(JobId, u32), Task>,
+    exited: BTreeMap<(JobId, u32, u64), Why>,
+    cache: Vec<String>,
+    done: Vec<(JobId, u32)>,
+    node: usize,
+    /// The report in flight and when it was sent.
+    flight: Option<(u64, u64, u64)>,
+    wake: u64,
+    changed: bool,
+    pub hung_until: u64,
+    pub sick: bool,
+}
+
+impl Worker {
+    fn report(&mut self, id: &MachineId) -> Report {
+        self.seq += 1;
+        let running = self.tasks.iter().map(|((job, index), t)| ReportedTask {
+            task: format!("{job}/{index}"),
+            attempt: t.attempt,
+            state: t.state,
+            why: None,
+            saved: None,
+        });
+        let exited = self.exited.iter().map(|((job, index, attempt), why)| ReportedTask {
+            task: format!("{job}/{index}"),
+            attempt: *attempt,
+            state: TaskState::Exited,
+            why: Some(*why),
+            saved: None,
+        });
+        let tasks = running.chain(exited).collect();
+        Report {
+            machine: id.clone(),
+            addr: Some("10.1.0.1:9000".into()),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks,
+        }
+    }
+
+    fn on_machine(&self, key: &(JobId, u32)) -> bool {
+        self.tasks.get(key).is_some_and(|t| t.state != TaskState::Fetching)
+    }
+}
+
+impl World {
+    pub(super) fn start_worker(&mut self, id: MachineId, machine_type: String, zone: String, spot: bool) {
+        let worker = Worker {
+            machine_type,
+            zone,
+            spot,
+            session: 1,
+            seq: 0,
+            token: Term(0),
+            renewed: self.now,
+            tasks: BTreeMap::new(),
+            exited: BTreeMap::new(),
+            cache: Vec::new(),
+            done: Vec::new(),
+            node: self.pick(NODES as u64) as usize,
+            flight: None,
+            wake: 0,
+            changed: true,
+            hung_until: 0,
+            sick: false,
+        };
+        self.workers.insert(id.clone(), worker);
+        self.at(100 * MS, Event::WorkerStep { machine: id.clone() });
+        self.at(10 * MS, Event::WorkerReports { machine: id, wake: 0 });
+    }
+
+    fn wake_in(&mut self, id: &MachineId, delay: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.wake += 1;
+            let wake = worker.wake;
+            self.at(delay, Event::WorkerReports { machine: id.clone(), wake });
+        }
+    }
+
+    pub(super) fn worker_reports(&mut self, id: MachineId, wake: u64) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.wake != wake || worker.flight.is_some() {
+            return;
+        }
+        if worker.hung_until > now {
+            let rest = worker.hung_until - now;
+            return self.wake_in(&id, rest);
+        }
+        let report = worker.report(&id);
+        worker.changed = false;
+        let node = worker.node;
+        self.next_serial += 1;
+        let serial = self.next_serial;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.flight = Some((serial, now, worker.session));
+        }
+        match self.fate(&Place::Worker(id.clone()), &Place::Node(node)) {
+            Fate::Arrives(delay) | Fate::Held(delay) => self.at(delay, Event::Report { node, report, serial }),
+            Fate::Refused => self.at(MS, Event::ReportAnswer { machine: id.clone(), serial, answer: None }),
+        }
+        self.at(4 * S, Event::ReportAnswer { machine: id, serial, answer: None });
+    }
+
+    pub(super) fn report_answer(&mut self, id: MachineId, serial: u64, answer: Option<WorkerAnswer>) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let Some((flight, sent, session)) = worker.flight else { return };
+        if flight != serial {
+            return;
+        }
+        if worker.hung_until > now {
+            let rest = worker.hung_until - now;
+            // It finds the answer when it goes on, if that is not too old by then.
+            let answer = if rest + now - sent > 4 * S { None } else { answer };
+            return self.at(rest, Event::ReportAnswer { machine: id, serial, answer });
+        }
+        worker.flight = None;
+        let pause = match answer {
+            Some(WorkerAnswer::Orders(orders)) => {
+                if orders.token >= worker.token && session == worker.session {
+                    if orders.token > worker.token {
+                        worker.changed = true;
+                    }
+                    worker.token = orders.token;
+                    worker.renewed = worker.renewed.max(sent);
+                    self.obey(&id, &orders.orders);
+                }
+                let changed = self.workers.get(&id).is_some_and(|w| w.changed);
+                if changed { 500 * MS } else { REPORT - REPORT / 4 + self.pick(REPORT / 2) }
+            }
+            Some(WorkerAnswer::Redirect(Some(label))) => {
+                let named = label.strip_prefix("node-").and_then(|n| n.parse().ok()).filter(|n| *n < NODES);
+                match named {
+                    Some(n) if n != worker.node => {
+                        worker.node = n;
+                        self.pick(500 * MS)
+                    }
+                    _ => {
+                        worker.node = (worker.node + 1) % NODES;
+                        S
+                    }
+                }
+            }
+            _ => {
+                worker.node = (worker.node + 1) % NODES;
+                S
+            }
+        };
+        self.wake_in(&id, pause);
+    }
+
+    pub(super) fn worker_orders(&mut self, node: usize, life: u64, call: u64, id: MachineId, orders: DirectOrders) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.hung_until > now {
+            let rest = worker.hung_until - now;
+            return self.at(rest, Event::Orders { node, life, call, machine: id, orders });
+        }
+        let done = orders.token >= worker.token && orders.session == worker.session;
+        if done {
+            worker.changed |= orders.token > worker.token;
+            worker.token = orders.token;
+            self.obey(&id, &orders.orders);
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let report = worker.report(&id);
+        let changed = worker.changed && worker.flight.is_none();
+        let outcome = if done { OrdersOutcome::Done(report) } else { OrdersOutcome::Rejected(report) };
+        self.reply(Place::Worker(id.clone()), node, life, call, Command::Orders { machine: id.clone(), outcome });
+        if changed {
+            self.wake_in(&id, 500 * MS);
+        }
+    }
+
+    fn obey(&mut self, id: &MachineId, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.obey_start(id, task, *attempt),
+                Order::Stop { task, attempt, .. } => {
+                    let Some(key) = TaskId::parse(task).map(|t| (t.job, t.index)) else { continue };
+                    let here = self.workers.get(id).and_then(|w| w.tasks.get(&key));
+                    if here.is_some_and(|t| t.attempt == *attempt) {
+                        self.exit(id, &key, Why::Stopped);
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let Some(t) = TaskId::parse(task) else { continue };
+                    if let Some(worker) = self.workers.get_mut(id) {
+                        worker.exited.remove(&(t.job, t.index, *attempt));
+                    }
+                }
+            }
+        }
+    }
+
+    fn obey_start(&mut self, id: &MachineId, task: &str, attempt: u64) {
+        let now = self.now;
+        let Some(key) = TaskId::parse(task).map(|t| (t.job, t.index)) else { return };
+        let Some(spec) = self.jobs.get(&key.0).map(|j| j.spec.clone()) else { return };
+        let cpus: f64 = match self.workers.get(id) {
+            Some(w) => w.tasks.keys().filter_map(|k| self.jobs.get(&k.0)).map(|j| j.spec.cpus).sum(),
+            None => return,
+        };
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let known = worker.exited.contains_key(&(key.0.clone(), key.1, attempt))
+            || worker.tasks.get(&key).is_some_and(|t| t.attempt == attempt);
+        if known {
+            return;
+        }
+        worker.changed = true;
+        if worker.tasks.contains_key(&key) {
+            worker.exited.insert((key.0, key.1, attempt), Why::Busy);
+        } else if cpus + spec.cpus > cpus_of(&worker.machine_type) + 1e-9 {
+            worker.exited.insert((key.0, key.1, attempt), Why::NoRoom);
+        } else {
+            let cached = worker.cache.contains(&spec.image);
+            let due = now + if cached { 0 } else { S };
+            let task = Task { attempt, state: TaskState::Fetching, why: None, due, since: now };
+            worker.tasks.insert(key.clone(), task);
+            if cached {
+                self.arrives(id, &key);
+            }
+        }
+    }
+
+    fn exit(&mut self, id: &MachineId, key: &(JobId, u32), why: Why) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if let Some(task) = worker.tasks.remove(key) {
+            worker.exited.insert((key.0.clone(), key.1, task.attempt), why);
+            worker.changed = true;
+            if worker.flight.is_none() {
+                self.wake_in(id, 100 * MS);
+            }
+        }
+    }
+
+    /// The task has its image: from here on it is on its machine.
+    fn arrives(&mut self, id: &MachineId, key: &(JobId, u32)) {
+        let now = self.now;
+        self.check_start(id, key);
+        self.started += 1;
+        let Some(job) = self.jobs.get(&key.0) else { return };
+        let (kind, image, run) = (job.spec.kind, job.spec.image.clone(), job.spec.estimate_s);
+        let run = (run * 1e6) as u64 / 2 + self.rng_run((run * 1e6) as u64);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.cache.contains(&image) {
+            worker.cache.push(image);
+        }
+        worker.changed = true;
+        let sick = worker.sick;
+        let finished = worker.done.contains(key);
+        if let Some(task) = worker.tasks.get_mut(key) {
+            task.since = now;
+            (task.state, task.due) = match kind {
+                Kind::Gang => (TaskState::Waiting, now + GANG_WAIT),
+                Kind::Service => (TaskState::Running, u64::MAX),
+                Kind::Array => (TaskState::Running, now + run),
+            };
+        }
+        if sick {
+            self.exit(id, key, Why::Error);
+        } else if finished {
+            self.exit(id, key, Why::Done);
+        } else if kind == Kind::Gang {
+            self.gang_may_start(&key.0);
+        }
+    }
+
+    fn rng_run(&mut self, span: u64) -> u64 {
+        if span == 0 { 0 } else { self.pick(span) }
+    }
+
+    fn check_start(&mut self, id: &MachineId, key: &(JobId, u32)) {
+        let now = self.now;
+        let Some(job) = self.jobs.get(&key.0) else {
+            return self.broken(format!("a task of no job starts: {}/{}", key.0, key.1));
+        };
+        let spec = job.spec.clone();
+        let cancelled = job.cancelled;
+        let mut found = Vec::new();
+        let elsewhere = self.workers.iter().find(|(other, w)| *other != id && w.on_machine(key));
+        if let Some((other, _)) = elsewhere {
+            found.push(format!("ran_twice: {}/{} runs on {other} and is started on {id}", key.0, key.1));
+        }
+        if cancelled.is_some_and(|at| now > at + CANCEL_S * S) {
+            found.push(format!("ran_cancelled: {}/{} starts on {id}", key.0, key.1));
+        }
+        let Some(worker) = self.workers.get(id) else { return };
+        let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&worker.machine_type))
+            && spec.zone.as_ref().is_none_or(|z| *z == worker.zone)
+            && (spec.spot || !worker.spot);
+        // Where the job's other tasks are at this moment.
+        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        for (other, w) in &self.workers {
+            for k in w.tasks.keys().filter(|k| k.0 == key.0 && (*k != key || other == id)) {
+                if w.on_machine(k) || (other == id && k == key) {
+                    *zones.entry(&w.zone).or_default() += 1;
+                }
+            }
+        }
+        let most = spec.tasks.div_ceil(2);
+        let spread = !spec.spread || zones.get(worker.zone.as_str()).copied().unwrap_or(0) <= most;
+        let together = !spec.one_zone || zones.len() <= 1;
+        if !(allowed && spread && together) {
+            found.push(format!("wrong_place: {}/{} on {id} in {}: {zones:?}", key.0, key.1, worker.zone));
+        }
+        if let Some(team) = &spec.team {
+            let limit = match team.as_str() {
+                "red" => 12.0,
+                "blue" => 10.0,
+                _ => f64::INFINITY,
+            };
+            let mut used = 0.0;
+            for w in self.workers.values() {
+                for k in w.tasks.keys().filter(|k| w.on_machine(k) || *k == key) {
+                    if let Some(j) = self.jobs.get(&k.0).filter(|j| j.spec.team.as_ref() == Some(team)) {
+                        used += j.spec.cpus;
+                    }
+                }
+            }
+            if used > limit + 1e-9 {
+                found.push(format!("quota: team {team} uses {used}"));
+            }
+        }
+        for what in found {
+            self.broken(what);
+        }
+    }
+
+    fn gang_may_start(&mut self, job: &JobId) {
+        let now = self.now;
+        let Some(spec) = self.jobs.get(job).map(|j| j.spec.clone()) else { return };
+        let mut waiting: BTreeMap<u64, Vec<(MachineId, u32)>> = BTreeMap::new();
+        for (id, w) in &self.workers {
+            for ((j, index), t) in &w.tasks {
+                if j == job && t.state == TaskState::Waiting {
+                    waiting.entry(t.attempt).or_default().push((id.clone(), *index));
+                }
+            }
+        }
+        let Some((_, members)) = waiting.into_iter().find(|(_, m)| m.len() == spec.tasks as usize) else { return };
+        let due = now + (spec.estimate_s * 1e6) as u64;
+        for (id, index) in members {
+            if let Some(t) = self.workers.get_mut(&id).and_then(|w| w.tasks.get_mut(&(job.clone(), index))) {
+                t.state = TaskState::Running;
+                t.due = due;
+            }
+        }
+    }
+
+    /// Whether all of a gang's attempt is still there.
+    fn gang_whole(&self, job: &JobId, attempt: u64, tasks: u32) -> bool {
+        let n = self
+            .workers
+            .values()
+            .flat_map(|w| w.tasks.iter())
+            .filter(|((j, _), t)| j == job && t.attempt == attempt && t.state == TaskState::Running)
+            .count();
+        n == tasks as usize
+    }
+
+    pub(super) fn worker_step(&mut self, id: MachineId) {
+        let now = self.now;
+        if !self.workers.contains_key(&id) {
+            return;
+        }
+        self.at(100 * MS, Event::WorkerStep { machine: id.clone() });
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.hung_until > now {
+            return;
+        }
+        if now > worker.renewed + LEASE {
+            worker.tasks.clear();
+            worker.exited.clear();
+            worker.session += 1;
+            worker.renewed = now;
+            worker.changed = true;
+            return;
+        }
+        let due: Vec<((JobId, u32), Task)> =
+            worker.tasks.iter().filter(|(_, t)| t.due <= now).map(|(k, t)| (k.clone(), t.clone())).collect();
+        for (key, task) in due {
+            let Some(spec) = self.jobs.get(&key.0).map(|j| j.spec.clone()) else { continue };
+            match task.state {
+                TaskState::Fetching => self.arrives(&id, &key),
+                TaskState::Waiting => self.exit(&id, &key, Why::Alone),
+                TaskState::Running if spec.kind == Kind::Gang => {
+                    if self.gang_whole(&key.0, task.attempt, spec.tasks) {
+                        let members: Vec<(MachineId, (JobId, u32))> = self
+                            .workers
+                            .iter()
+                            .flat_map(|(m, w)| w.tasks.keys().map(move |k| (m.clone(), k.clone())))
+                            .filter(|(_, k)| k.0 == key.0)
+                            .collect();
+                        for (machine, member) in members {
+                            self.complete(&machine, &member);
+                        }
+                    } else {
+                        self.exit(&id, &key, Why::Peers);
+                    }
+                }
+                TaskState::Running => self.complete(&id, &key),
+                TaskState::Saving | TaskState::Exited => {}
+            }
+        }
+        let cancelled: Vec<String> = self
+            .workers
+            .get(&id)
+            .into_iter()
+            .flat_map(|w| w.tasks.keys().filter(|k| w.on_machine(k)))
+            .filter(|k| {
+                let at = self.jobs.get(&k.0).and_then(|j| j.cancelled);
+                at.is_some_and(|at| now > at + CANCEL_S * S)
+            })
+            .map(|k| format!("ran_cancelled: {}/{} is still on {id}", k.0, k.1))
+            .collect();
+        for what in cancelled {
+            self.broken(what);
+        }
+    }
+
+    fn complete(&mut self, id: &MachineId, key: &(JobId, u32)) {
+        if let Some(done) = self.jobs.get_mut(&key.0).and_then(|j| j.done_tasks.get_mut(key.1 as usize)) {
+            *done = true;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.done.push(key.clone());
+        }
+        self.exit(id, key, Why::Done);
+    }
+}
