--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -305,6 +305,8 @@
         machine.heard = now;
         machine.probes_failed = 0;
         if report.session > machine.session {
+            // A new session comes with a lease of its own.
+            machine.answered = now;
             machine.strays.clear();
             machine.fetches.clear();
         }
@@ -710,7 +712,8 @@
 
     pub(super) fn set_hold(&mut self, id: &MachineId, hold: Hold) {
         let before = self.replica.machines.get(id).and_then(|m| m.value.hold);
-        if before != Some(Hold::Doomed) && before != Some(hold) {
+        let writing = self.machines.get(id).is_none_or(|m| m.writing);
+        if before != Some(Hold::Doomed) && before != Some(hold) && !writing {
             tracing::info!(machine = %id, ?hold, "machine put on hold");
             self.write_machine(id, |record| record.hold = Some(hold));
         }
