--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -7,7 +7,7 @@
 use crate::protocol::user::Kind;
 use crate::protocol::worker::{DirectOrders, Order, Orders, Report, TaskState, Why};
 use crate::units::{JobId, MachineId, Micros, Room, TaskId, Term};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Commands in one message at most, so that it stays below the size limit.
@@ -35,6 +35,12 @@
     void: bool,
 }
 
+/// Failed tasks of one job on one machine.
+struct Failures {
+    count: u32,
+    last: Micros,
+}
+
 impl Stray {
     /// Whether the worker may forget it. A late copy of a direct start would run a forgotten task
     /// again, perhaps while it runs elsewhere, after its job was cancelled or beyond its team's
@@ -77,7 +83,7 @@
     /// Observed fetch rate, MB per second.
     pub rate: Option<f64>,
     /// Jobs with a failed task here since the last success.
-    failed_jobs: BTreeSet<JobId>,
+    failed_jobs: BTreeMap<JobId, Failures>,
     /// Since when nothing runs here; for returning and shifting it.
     pub free_since: Option<Micros>,
     /// A change of its record is on its way.
@@ -113,8 +119,9 @@
         self.strays.clear();
     }
 
-    pub fn failed_jobs(&self) -> impl Iterator<Item = &JobId> {
-        self.failed_jobs.iter()
+    /// Jobs that failed here a short while ago and had better try elsewhere.
+    pub fn failed_jobs(&self, now: Micros, pause: Micros) -> impl Iterator<Item = &JobId> {
+        self.failed_jobs.iter().filter(move |(_, f)| now.since(f.last) < pause).map(|(id, _)| id)
     }
 
     fn image_used(&mut self, image: &str, megabytes: f64, capacity_mb: f64) {
@@ -441,6 +448,7 @@
     }
 
     fn exit_seen(&mut self, id: &MachineId, task: &TaskId, why: Why) {
+        let now = self.now();
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(live) = job.live.get(&task.index) else { return };
         if !live.phase.occupies() {
@@ -454,7 +462,10 @@
             match why {
                 Why::Done => machine.failed_jobs.clear(),
                 Why::Error => {
-                    machine.failed_jobs.insert(task.job.clone());
+                    let failures =
+                        machine.failed_jobs.entry(task.job.clone()).or_insert(Failures { count: 0, last: now });
+                    failures.count += 1;
+                    failures.last = now;
                 }
                 _ => {}
             }
@@ -759,8 +770,16 @@
     /// Tasks of different jobs failing on one machine speak against the machine.
     fn retire_faulty(&mut self, ours: &[MachineId]) {
         for id in ours {
-            let faulty =
-                self.machines.get(id).is_some_and(|m| m.failed_jobs.len() >= self.policy.faulty_after as usize);
+            let Some(machine) = self.machines.get(id) else { continue };
+            let most = self.policy.faulty_after;
+            // One job alone speaks against the machine if it fails again and again there and has
+            // failed nowhere else; one that fails everywhere speaks against itself.
+            let alone = |job: &JobId, f: &Failures| {
+                f.count > most * 2
+                    && !self.machines.iter().any(|(other, m)| other != id && m.failed_jobs.contains_key(job))
+            };
+            let faulty = machine.failed_jobs.len() >= most as usize
+                || machine.failed_jobs.iter().any(|(job, failures)| alone(job, failures));
             if !faulty {
                 continue;
             }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -131,6 +131,7 @@
     fn spots_of(&self, share: u32) -> Vec<Spot> {
         let now = self.now();
         let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 1.7);
+        let pause = Micros::from_millis(self.policy.retry_max_ms);
         self.replica
             .machines
             .iter()
@@ -147,7 +148,7 @@
                     spot: record.value.spot,
                     free: self.free_room(id),
                     session: machine.session,
-                    failed_here: machine.failed_jobs().cloned().collect(),
+                    failed_here: machine.failed_jobs(now, pause).cloned().collect(),
                 })
             })
             .collect()
