--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -2,7 +2,7 @@
 
 use super::calls::{Services, spawn};
 use super::client::Client;
-use super::server::{Ask, Gate, serve};
+use super::server::{Ask, Bounces, Gate, serve};
 use crate::coordination::{Clock, Command, Core, Effect, UserAnswer, Waiter, WorkerAnswer};
 use crate::settings::{Platform, Policy};
 use crate::units::Micros;
@@ -39,6 +39,7 @@
     let (asks, mut asked) = mpsc::channel::<Ask>(ASKS);
     let (outcomes, mut done) = mpsc::unbounded_channel::<Command>();
     let gate = Arc::new(Gate {
+        bounces: Bounces::default(),
         asks,
         ready: ready.clone(),
         siblings: platform.siblings.iter().map(|s| (s.label.clone(), s.address)).collect(),
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -6,7 +6,7 @@
 use crate::protocol::user::{self, JobState, JobStatus, Refusal};
 use crate::protocol::worker::{Orders, Redirect, Report};
 use crate::protocol::{BODY_LIMIT, decode, encode};
-use crate::units::{JobId, Term};
+use crate::units::{JobId, MachineId, Term};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -15,14 +15,15 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// A request for the owner of all state, with the way back.
 pub enum Ask {
@@ -36,7 +37,35 @@
 const HEAD_TIME: Duration = Duration::from_secs(75);
 const RELAY_LIMIT: Duration = Duration::from_millis(1500);
 
+/// A worker that comes back so soon after it was sent to its owner could not reach it. After this
+/// time it is sent there again.
+const RELAY_SPAN: Duration = Duration::from_secs(30);
+const BOUNCES_KEPT: usize = 4096;
+
+/// Workers sent on to another controller, with when that was.
+#[derive(Default)]
+pub struct Bounces(Mutex<HashMap<MachineId, Instant>>);
+
+impl Bounces {
+    /// Whether the worker was sent on a short while ago. If not, it is noted that it is now.
+    fn came_back(&self, id: &MachineId) -> bool {
+        let now = Instant::now();
+        let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if map.len() >= BOUNCES_KEPT {
+            map.retain(|_, at| now.duration_since(*at) < RELAY_SPAN);
+        }
+        match map.get(id).map(|at| now.duration_since(*at)) {
+            Some(age) if age < RELAY_SPAN => true,
+            _ => {
+                map.insert(id.clone(), now);
+                false
+            }
+        }
+    }
+}
+
 pub struct Gate {
+    pub bounces: Bounces,
     pub asks: mpsc::Sender<Ask>,
     pub ready: Arc<AtomicBool>,
     pub siblings: Vec<(String, SocketAddr)>,
@@ -127,7 +156,7 @@
         if method != Method::POST {
             return Plain::error(405, "method not allowed");
         }
-        return checkin(gate, body).await;
+        return checkin(gate, body, relay).await;
     }
     if path == "/healthz" {
         return Plain::error(405, "method not allowed");
@@ -186,10 +215,11 @@
     }
 }
 
-async fn checkin(gate: &Gate, body: &[u8]) -> Plain {
+async fn checkin(gate: &Gate, body: &[u8], relay: bool) -> Plain {
     let Ok(report) = decode::<Report>(body) else {
         return Plain::error(400, "malformed");
     };
+    let machine = report.machine.clone();
     let (back, answer) = oneshot::channel();
     if gate.asks.send(Ask::Report(report, back)).await.is_err() {
         return Plain::unavailable(1);
@@ -199,11 +229,30 @@
             debug_assert!(token > Term(0));
             Plain::new(200, encode(&Orders { token, orders }))
         }
-        Ok(Ok(WorkerAnswer::Redirect(report_to))) => Plain::new(421, encode(&Redirect { report_to })),
+        Ok(Ok(WorkerAnswer::Redirect(report_to))) => {
+            if relay
+                && let Some(owner) = &report_to
+                && gate.bounces.came_back(&machine)
+                && let Some(answer) = pass_report(gate, owner, body).await
+            {
+                return answer;
+            }
+            Plain::new(421, encode(&Redirect { report_to }))
+        }
         _ => Plain::unavailable(1),
     }
 }
 
+/// The worker can't reach its owner but both reach us: without this its lease would run out. The
+/// owner's answer carries the owner's token.
+async fn pass_report(gate: &Gate, owner: &str, body: &[u8]) -> Option<Plain> {
+    let (_, addr) = gate.siblings.iter().find(|(label, _)| label == owner)?;
+    let relay = Relay { path: "/checkin".to_string(), post: true, body: body.to_vec() };
+    let answer = gate.client.call(*addr, Method::POST, "/relay", bitcode::encode(&relay), RELAY_LIMIT).await.ok()?;
+    let relayed = bitcode::decode::<Relayed>(&answer.body).ok()?;
+    (answer.status == 200 && relayed.status == 200).then(|| Plain::new(200, relayed.body))
+}
+
 /// This controller can't reach the state service; a sibling may. Asked at once, with little
 /// patience: the user hears the refusal if no sibling can help either.
 async fn pass_on(gate: &Gate, method: &Method, path: &str, body: &[u8]) -> Option<Plain> {
