Leave shares to a sibling when most machines can't be reached from here

Now a machine is only replaced if the others were heard well after it fell silent, and a controller that has not heard most of its machines for 6 s gives up its shares and looks for machines until some answer. Guarded by a test in the simulated world.

--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -81,6 +81,9 @@
 pub struct NodeRecord {
     #[serde(rename = "i")]
     pub incarnation: u64,
+    /// It can't reach the machines and should not be given shares.
+    #[serde(rename = "u", default)]
+    pub unfit: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -73,7 +73,7 @@
     push: bool,
     /// A direct command under this token got no answer and may be carried out at any time.
     doubt: Option<Term>,
-    probes_failed: u32,
+    pub probes_failed: u32,
     next_probe: Micros,
     strays: Vec<Stray>,
     pub starts: BTreeSet<(JobId, u32)>,
@@ -567,6 +567,9 @@
         let token = self.token(id);
         let Some(machine) = self.machines.get_mut(id) else { return };
         machine.direct = false;
+        if self.seats.unfit && matches!(outcome, OrdersOutcome::Done(_) | OrdersOutcome::Rejected(_)) {
+            self.seats.answered += 1;
+        }
         match outcome {
             OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) => {
                 if report.machine != *id || token.is_none_or(|t| report.token > t) {
@@ -618,6 +621,7 @@
         let booked = &self.replica.machines;
         self.machines
             .retain(|id, m| booked.contains_key(id) || !m.starts.is_empty() || m.direct || m.writing || m.adopting);
+        self.judge_contact(&ours);
         self.expire_leases(&ours);
         self.probe(&ours);
         self.replace_silent(&ours);
@@ -668,6 +672,19 @@
         }
     }
 
+    /// Asks a few machines of whatever share for a sign of life. The token 0 moves nobody to
+    /// anything.
+    pub(super) fn look_for_machines(&mut self) {
+        let every = (self.replica.machines.len() / 4).max(1);
+        let ids: Vec<MachineId> = self.replica.machines.keys().step_by(every).cloned().collect();
+        for id in ids {
+            let Some(machine) = self.machines.get(&id) else { continue };
+            if let Some(addr) = machine.addr.filter(|_| !machine.direct) {
+                self.send_direct(&id, addr, DirectOrders { token: Term(0), session: 0, orders: Vec::new() });
+            }
+        }
+    }
+
     /// A single machine gone silent is deleted, which proves its tasks gone sooner than its lease
     /// would. If many are silent the fault is ours or a cut's, and they may come back.
     fn replace_silent(&mut self, ours: &[MachineId]) {
@@ -693,12 +710,19 @@
         for id in &lost {
             self.set_hold(id, Hold::Doomed);
         }
-        let most = (ours.len() as f64 * self.policy.replace_max_part).max(1.0);
-        if silent.is_empty() || silent.len() as f64 > most {
-            return;
-        }
+        // Machines go silent one by one even if all are cut off at once, as each was last heard at
+        // a moment of its own. So the others must have been heard well after this one fell silent.
+        let gap = Micros::from_millis(self.policy.probe_after_ms + self.policy.probe_ms);
         for id in silent {
-            self.set_hold(&id, Hold::Doomed);
+            let Some(last) = self.machines.get(&id).map(|m| m.heard) else { continue };
+            let others = ours.iter().filter(|o| **o != id).filter_map(|o| self.machines.get(o));
+            let (all, heard) =
+                others.fold((0u32, 0u32), |(all, heard), m| (all + 1, heard + u32::from(m.heard > last + gap)));
+            // With hardly any other to compare with, more patience.
+            let alone = all < 2 && now.since(last) < Micros(after.0 * 3);
+            if !alone && f64::from(all - heard) <= f64::from(all) * self.policy.replace_max_part {
+                self.set_hold(&id, Hold::Doomed);
+            }
         }
     }
 
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -7,7 +7,7 @@
 use super::txns::{Draft, Purpose};
 use super::{Core, Effect, LeaseOutcome, StateCall};
 use crate::bookkeeping::schema::{Key, NodeRecord, Seat, SeatRecord, to_value};
-use crate::units::{Micros, Term};
+use crate::units::{MachineId, Micros, Term};
 use std::collections::BTreeMap;
 
 #[derive(Default)]
@@ -28,6 +28,11 @@
     taking: bool,
     node_writing: bool,
     not_before: Micros,
+    /// Most machines can't be reached from here, though siblings may reach them.
+    pub unfit: bool,
+    /// Machines that answered since this controller became unfit.
+    pub answered: u32,
+    next_look: Micros,
 }
 
 impl Core {
@@ -115,10 +120,9 @@
         if now < self.seats.not_before {
             return;
         }
-        let own_node = self.replica.nodes.get(&self.label).map(|n| n.value.incarnation);
-        if own_node != Some(self.incarnation) && !self.seats.node_writing {
+        let record = NodeRecord { incarnation: self.incarnation, unfit: self.seats.unfit };
+        if self.replica.nodes.get(&self.label).map(|n| &n.value) != Some(&record) && !self.seats.node_writing {
             self.seats.node_writing = true;
-            let record = NodeRecord { incarnation: self.incarnation };
             let mut txn = Draft::default();
             txn.put_bound(Key::Node(self.label.clone()), to_value(&record), lease);
             self.submit_txn(txn, Purpose::Node);
@@ -126,6 +130,10 @@
         if self.seats.taking {
             return;
         }
+        if self.seats.unfit && self.fit_sibling() {
+            self.give_up_share();
+            return;
+        }
         let step = Micros::from_millis(self.policy.takeover_step_ms);
         for seat in self.seat_list() {
             let record = self.replica.seats.get(&seat).map(|s| s.value.clone());
@@ -182,6 +190,7 @@
         let now = self.now();
         let idle = self.seats.siblings_since.iter().find(|(label, since)| {
             now.since(**since) >= patience
+                && self.replica.nodes.get(*label).is_some_and(|n| !n.value.unfit)
                 && !self.replica.seats.iter().any(|(s, r)| matches!(s, Seat::Share(_)) && r.value.owner == **label)
         });
         if idle.is_none() {
@@ -190,6 +199,48 @@
         // The one that stands farthest from us in the order, so that its home takes it first.
         let Some(seat) = shares.into_iter().max_by_key(|s| self.distance(*s)) else { return };
         tracing::info!(?seat, "handing back");
+        self.release(seat);
+    }
+
+    fn fit_sibling(&self) -> bool {
+        self.replica.nodes.iter().any(|(label, n)| *label != self.label && !n.value.unfit)
+    }
+
+    /// A controller that can't reach its machines leaves its shares to one that may.
+    fn give_up_share(&mut self) {
+        let share = self.seats.held.keys().copied().find(|s| matches!(s, Seat::Share(_)));
+        if let Some(seat) = share {
+            tracing::warn!(?seat, "given up: most machines can't be reached from here");
+            self.release(seat);
+        }
+    }
+
+    /// Judges by its own machines whether this controller has lost contact, and once it has, by
+    /// all machines whether it is back.
+    pub(super) fn judge_contact(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        if self.seats.unfit {
+            if self.seats.answered >= 2 {
+                tracing::info!("machines can be reached again");
+                self.seats.unfit = false;
+            } else if now >= self.seats.next_look {
+                self.seats.next_look = now + Micros::from_millis(1000);
+                self.look_for_machines();
+            }
+            return;
+        }
+        let patience = Micros::from_millis(self.policy.lose_contact_ms);
+        let silent = |id: &&MachineId| {
+            self.machines.get(*id).is_some_and(|m| m.probes_failed >= 2 && now.since(m.heard) >= patience)
+        };
+        let lost = ours.iter().filter(silent).count();
+        if ours.len() >= 3 && lost * 3 >= ours.len() * 2 {
+            self.seats.unfit = true;
+            self.seats.answered = 0;
+        }
+    }
+
+    fn release(&mut self, seat: Seat) {
         let mut txn = Draft::default();
         txn.unchanged(&self.replica, Key::Seat(seat));
         txn.delete(Key::Seat(seat));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -264,6 +264,8 @@
     replace_after_ms: u64 = 5000, 1000, 600000;
     /// When more than this part of the machines is silent, the fault is taken to be elsewhere.
     replace_max_part: f64 = 0.25, 0.0, 1.0;
+    /// A controller that has not heard from most of its machines for this long gives its shares to a sibling.
+    lose_contact_ms: u64 = 6000, 1000, 600000;
     /// Failed tasks of different jobs, without a success between, that make a machine suspect.
     faulty_after: u32 = 2, 1, 1000;
     /// Longest pause before a task that failed is tried again.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -189,6 +189,27 @@
     }
 }
 
+/// A controller that loses all machines at once must not take them for dead: it leaves its share to
+/// a sibling, and the services run on.
+#[test]
+fn a_controller_cut_off_from_the_machines_deletes_none() {
+    for node in 0..3 {
+        let mut world = World::new(7);
+        for n in 0..6 {
+            let team = ["red", "blue", "green"][n as usize % 3];
+            world.submit(n + 1, World::spec(Kind::Service, team, 2, 1.0));
+        }
+        world.run_for(40 * S);
+        let before: Vec<MachineId> = world.workers.keys().cloned().collect();
+        let started = world.started;
+        world.cut(30 * S, true, move |a, b| *a == Place::Node(node) && matches!(b, Place::Worker(_)));
+        world.run_for(35 * S);
+        assert!(before.iter().filter(|id| !world.workers.contains_key(id)).count() <= 1, "machines were deleted");
+        assert!(world.started <= started + 2, "services were restarted");
+        assert_clean(&world, "cut off");
+    }
+}
+
 #[test]
 fn everything_at_once() {
     for seed in seeds(5, 10) {
