Ask other shares' machines before giving up a share with few machines

The test of a controller cut off from the machines failed for shares of one or two machines: their machines were deleted after 15 s. Now those of other shares are asked: if none answers, the fault is here and the share is given up.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -567,7 +567,8 @@
         let token = self.token(id);
         let Some(machine) = self.machines.get_mut(id) else { return };
         machine.direct = false;
-        if self.seats.unfit && matches!(outcome, OrdersOutcome::Done(_) | OrdersOutcome::Rejected(_)) {
+        let looking = self.seats.unfit || self.seats.looking_since.is_some();
+        if looking && matches!(outcome, OrdersOutcome::Done(_) | OrdersOutcome::Rejected(_)) {
             self.seats.answered += 1;
         }
         match outcome {
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -33,6 +33,8 @@
     /// Machines that answered since this controller became unfit.
     pub answered: u32,
     next_look: Micros,
+    /// Since when other shares' machines are asked whether it is our own that are lost.
+    pub looking_since: Option<Micros>,
 }
 
 impl Core {
@@ -234,9 +236,26 @@
             self.machines.get(*id).is_some_and(|m| m.probes_failed >= 2 && now.since(m.heard) >= patience)
         };
         let lost = ours.iter().filter(silent).count();
-        if ours.len() >= 3 && lost * 3 >= ours.len() * 2 {
+        if ours.is_empty() || lost * 3 < ours.len() * 2 {
+            self.seats.looking_since = None;
+            return;
+        }
+        // A few machines may well be lost together; then those of other shares tell.
+        let since = match self.seats.looking_since {
+            Some(since) => since,
+            None => {
+                self.seats.looking_since = Some(now);
+                self.seats.answered = 0;
+                self.look_for_machines();
+                now
+            }
+        };
+        let others = self.replica.machines.len() > ours.len();
+        let none_answers = others && self.seats.answered == 0 && now.since(since) >= Micros::from_millis(2000);
+        if ours.len() >= 3 || none_answers {
             self.seats.unfit = true;
             self.seats.answered = 0;
+            self.seats.looking_since = None;
         }
     }
 
