--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -529,10 +529,19 @@
     }
 }
 
+/// Whether none of its starts waits to be taken out of the books.
+fn books_are_right(job: &Job) -> bool {
+    job.live.values().all(|l| l.phase.occupies())
+}
+
 fn job_is_due(job: &Job, now: Micros, delay: Micros) -> bool {
     if job.live.values().any(|l| l.phase == Phase::Proposed) {
         return true;
     }
+    // A service that lost its place is down until this is in the books.
+    if job.spec.kind == Kind::Service && !books_are_right(job) {
+        return true;
+    }
     if job.over.is_none() && job.gang_done() && job.waiting() > 0 {
         return true;
     }
