Give a new machine to the share whose urgent tasks it can take

Ruled out: rental, machines of the needed zone came up meanwhile. Now the plan's tasks are fitted to the machine in order.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -11,6 +11,7 @@
 use crate::bookkeeping::schema::{Hold, Key, MachineRecord, Seat, to_value};
 use crate::protocol::cloud::{ListedMachine, ListedState, Rental};
 use crate::protocol::user::{JobSpec, Kind, Priority};
+use crate::protocol::worker::Report;
 use crate::units::{MachineId, Micros, Room, Term};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -51,7 +52,7 @@
     deleted: BTreeMap<MachineId, Micros>,
     next_plan: Micros,
     /// What the shares lacked in the last plan, most urgent first.
-    need: Vec<Need>,
+    need: Vec<Unmet>,
     charters: u64,
 }
 
@@ -65,15 +66,6 @@
     untouched: bool,
 }
 
-/// Cpus (in millionths) a share lacks for work of one priority.
-#[derive(Clone, Debug)]
-struct Need {
-    share: u32,
-    priority: Priority,
-    spot: bool,
-    cpus: u64,
-}
-
 /// Tasks that found no room in the plan.
 #[derive(Clone)]
 struct Unmet {
@@ -308,7 +300,7 @@
             if ids.len() >= self.platform.deployment.state.txn_ops {
                 break;
             }
-            let share = self.neediest_share(&report.machine_type, report.spot);
+            let share = self.neediest_share(&report);
             let record = MachineRecord {
                 share,
                 term: Term(0),
@@ -342,11 +334,29 @@
     }
 
     /// The share with the most unmet need, else the one with the least room for its teams.
-    fn neediest_share(&mut self, machine_type: &str, spot: bool) -> u32 {
-        let cpus = self.types.get(machine_type).map_or(1_000_000, |t| t.room.cpus);
-        if let Some(need) = self.leader.need.iter_mut().find(|n| n.cpus > 0 && (n.spot || !spot)) {
-            need.cpus = need.cpus.saturating_sub(cpus);
-            return need.share;
+    fn neediest_share(&mut self, report: &Report) -> u32 {
+        let cpus = self.types.get(&report.machine_type).map_or(1_000_000, |t| t.room.cpus);
+        // The most urgent tasks that it can really take decide, wherever else room is lacking.
+        let mut slot = Slot {
+            id: None,
+            machine_type: report.machine_type.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            free: self.types.get(&report.machine_type).map(|t| t.room).unwrap_or_default(),
+            untouched: true,
+        };
+        let mut chosen = None;
+        for need in &mut self.leader.need {
+            if chosen.is_none_or(|share| share == need.share) {
+                let taken = fit(&need.spec, need.count, std::slice::from_mut(&mut slot), &mut need.zones);
+                need.count -= taken;
+                if taken > 0 {
+                    chosen = Some(need.share);
+                }
+            }
+        }
+        if let Some(share) = chosen {
+            return share;
         }
         let shares = self.shares();
         let mut teams = vec![0u64; shares as usize];
@@ -445,17 +455,7 @@
         }
         // Whoever is most urgent gets what is free, what is coming, and is rented for first.
         unmet.sort_by_key(|u| std::cmp::Reverse(u.spec.priority));
-        let mut need: Vec<Need> = Vec::new();
-        for u in &unmet {
-            let cpus = u.spec.room().cpus * u.count;
-            let (share, priority, spot) = (u.share, u.spec.priority, u.spec.spot);
-            match need.iter_mut().find(|n| (n.share, n.priority, n.spot) == (share, priority, spot)) {
-                Some(n) => n.cpus += cpus,
-                None => need.push(Need { share, priority, spot, cpus }),
-            }
-        }
-        need.sort_by_key(|n| std::cmp::Reverse((n.priority, n.cpus)));
-        self.leader.need = need;
+        self.leader.need = unmet.clone();
         self.shift(&mut slots, &mut unmet);
         let mut boots = self.boot_slots();
         for u in &mut unmet {
