--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,222 @@
+//! One controller over real sockets on loopback, with stand-ins for the services and a worker.
+
+use burlhatch::coordination::Failure;
+use burlhatch::protocol::state::{Txn, Write};
+use burlhatch::protocol::worker::{Order, Orders};
+use burlhatch::protocol::{decode, encode};
+use burlhatch::settings::{Platform, Policy};
+use burlhatch::transport::client::{Answer, Client};
+use burlhatch::transport::daemon;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    keys: BTreeMap<String, (Value, u64)>,
+    log: Vec<Value>,
+}
+
+impl Store {
+    fn txn(&mut self, txn: &Txn) -> (u16, Value) {
+        if txn.conditions.iter().any(|c| self.keys.get(&c.key).map_or(0, |(_, v)| *v) != c.version) {
+            return (409, json!({"failed": [], "ledger": self.revision}));
+        }
+        self.revision += 1;
+        for write in &txn.writes {
+            match write {
+                Write::Put { key, value, .. } => {
+                    let value: Value = value.deserialized().expect("plain data");
+                    self.log.push(json!({"write": key, "v": value, "mark": self.revision}));
+                    self.keys.insert(key.clone(), (value, self.revision));
+                }
+                Write::Delete { key } => {
+                    self.keys.remove(key);
+                    self.log.push(json!({"remove": key, "mark": self.revision}));
+                }
+            }
+        }
+        (200, json!({"ledger": self.revision}))
+    }
+
+    fn changes(&self, after: u64) -> Vec<Value> {
+        self.log.iter().filter(|e| e["mark"].as_u64() > Some(after)).cloned().collect()
+    }
+}
+
+/// The state service and the cloud, on one address.
+async fn stand_in(store: Arc<Mutex<Store>>, request: Request<Incoming>) -> (u16, Value) {
+    let method = request.method().clone();
+    let uri = request.uri().clone();
+    let body = request.into_body().collect().await.expect("body").to_bytes();
+    let query: BTreeMap<String, String> = uri
+        .query()
+        .unwrap_or("")
+        .split('&')
+        .filter_map(|p| p.split_once('=').map(|(k, v)| (k.to_string(), v.to_string())))
+        .collect();
+    let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    match (method, uri.path()) {
+        (Method::POST, "/txn") => store.lock().expect("store").txn(&decode(&body).expect("a transaction")),
+        (Method::POST, "/leases") => (200, json!({"tether": 7})),
+        (Method::POST, "/leases/7/touch") => (200, json!({"tether": 7})),
+        (Method::GET, "/store") => {
+            let store = store.lock().expect("store");
+            let rows: Vec<Value> =
+                store.keys.iter().map(|(k, (v, mark))| json!({"k": k, "v": v, "mark": mark})).collect();
+            (200, json!({"rows": rows, "more": false, "ledger": store.revision}))
+        }
+        (Method::GET, "/changes") => {
+            let (after, mut wait) = (number("after"), number("block_ms"));
+            loop {
+                {
+                    let store = store.lock().expect("store");
+                    let log = store.changes(after);
+                    if !log.is_empty() || wait == 0 {
+                        return (200, json!({"ledger": store.revision, "log": log}));
+                    }
+                }
+                wait = wait.saturating_sub(5);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        (Method::GET, "/flavors") => (
+            200,
+            json!({"hulls": [{"sku": "s", "cores": 4, "gpus": 0, "memory_gb": 8, "cache_gb": 10, "pull_gb_per_s": 1,
+                "hourly": 1.0, "market_price": 0.5, "startup_s": 5, "berths": ["a"]}]}),
+        ),
+        (Method::GET, "/rentals") => (200, json!({"hosts": [], "more": false})),
+        (Method::POST, "/rentals") => (503, json!({"error": "no capacity"})),
+        _ => (404, json!({"error": "unknown"})),
+    }
+}
+
+async fn serve(listener: TcpListener, store: Arc<Mutex<Store>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let store = store.clone();
+        let service = service_fn(move |request| {
+            let store = store.clone();
+            async move {
+                let (status, body) = stand_in(store, request).await;
+                let response = Response::builder().status(status).body(Full::new(Bytes::from(encode(&body))));
+                Ok::<_, Infallible>(response.expect("a response"))
+            }
+        });
+        tokio::spawn(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+/// A worker that finishes whatever it is told to start.
+async fn worker(client: Client, controller: SocketAddr) {
+    let mut exited: BTreeMap<String, u64> = BTreeMap::new();
+    let mut token = 0;
+    for seq in 1u64.. {
+        let pieces: Vec<Value> = exited
+            .iter()
+            .map(|(piece, attempt)| json!({"piece": piece, "try": attempt, "status": "ended", "cause": "done"}))
+            .collect();
+        let report = json!({"host": "m-000001", "addr": "127.0.0.1:9", "hull": "s", "berth": "a", "driftwood": false,
+            "watch": 1, "tally": seq, "helm": token, "warning_s": null, "pieces": pieces});
+        let answer = call(&client, controller, Method::POST, "/checkin", &report).await;
+        if let Ok(Answer { status: 200, body, .. }) = answer {
+            let orders: Orders = decode(&body).expect("orders");
+            token = orders.token.0;
+            for order in orders.orders {
+                match order {
+                    Order::Start { task, attempt } => drop(exited.insert(task, attempt)),
+                    Order::Forget { task, .. } => drop(exited.remove(&task)),
+                    Order::Stop { .. } => {}
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn call(client: &Client, to: SocketAddr, method: Method, path: &str, body: &Value) -> Result<Answer, Failure> {
+    let body = if body.is_null() { Vec::new() } else { encode(body) };
+    client.call(to, method, path, body, Duration::from_secs(4)).await
+}
+
+fn free_port() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+#[tokio::test]
+async fn a_job_is_taken_run_and_remembered_over_real_sockets() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let services = listener.local_addr().expect("its address");
+    tokio::spawn(serve(listener, Arc::default()));
+    let (public, back) = (free_port(), free_port());
+    let settings = format!(
+        "label = \"solo\"\npublic_addr = \"{public}\"\nback = \"{back}\"\n[external]\ncloud = \"{services}\"\n\
+         state = \"{services}\"\n[deployment]\nnodes = 1\n[deployment.workers]\nreport_s = 3.0\nlease_s = 20.0\n\
+         gang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = 40.0\n[deployment.state]\nrps = 500.0\nwrite_rps = 200.0\n\
+         value_kb = 4.0\ntxn_ops = 12\n[deployment.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[deployment.quota]\nfd_limit = 500\n"
+    );
+    let platform = Platform::parse(&settings).expect("valid settings");
+    tokio::spawn(daemon::run(platform, Policy::default()));
+    let client = Client::default();
+    tokio::spawn(worker(client.clone(), public));
+    let ask = |method: Method, path: &'static str, body: Value| {
+        let client = client.clone();
+        async move {
+            let answer = call(&client, public, method, path, &body).await;
+            answer.map_or((0, Value::Null), |a| (a.status, decode::<Value>(&a.body).unwrap_or(Value::Null)))
+        }
+    };
+    let mut healthy = false;
+    for _ in 0..100 {
+        healthy = ask(Method::GET, "/healthz", Value::Null).await.0 == 200;
+        if healthy {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(healthy);
+    let job = json!({"id": "wk-000001", "lot": "c", "shape": "array", "rank": "standard", "pieces": 3, "cores": 1.0,
+        "gpus": 0.0, "memory_gb": 1.0, "bundle": "i", "pull_gb": 0.1, "one_zone": false, "spread": false,
+        "driftwood": false, "expect_s": 1.0, "stow_every_s": 0.0, "stow_s": 0.0});
+    let mut accepted = (0, Value::Null);
+    for _ in 0..40 {
+        accepted = ask(Method::POST, "/api/jobs", job.clone()).await;
+        if accepted.0 == 201 {
+            break;
+        }
+        // Until the machine types are known the controller can't decide.
+        assert_eq!(accepted.0, 503);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(accepted, (201, json!({"id": "wk-000001", "status": "queued"})));
+    let mut state = Value::Null;
+    for _ in 0..100 {
+        let (status, body) = ask(Method::GET, "/api/jobs/wk-000001", Value::Null).await;
+        assert_eq!(status, 200);
+        state = body["status"].clone();
+        if state == "done" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(state, "done");
+    let done = json!({"id": "wk-000001", "status": "done"});
+    assert_eq!(ask(Method::POST, "/api/jobs", job).await, (200, done.clone()));
+    assert_eq!(ask(Method::POST, "/api/jobs/wk-000001/abort", Value::Null).await, (200, done));
+    assert_eq!(ask(Method::GET, "/api/jobs/wk-000002", Value::Null).await.0, 404);
+    assert_eq!(ask(Method::POST, "/api/jobs", json!({"id": "wk-000003"})).await.0, 400);
+    assert_eq!(ask(Method::POST, "/api/jobs", json!([1])).await.0, 400);
+    assert_eq!(ask(Method::GET, "/nowhere", Value::Null).await.0, 404);
+    assert_eq!(ask(Method::GET, "/checkin", Value::Null).await.0, 405);
+}
