--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -149,11 +149,26 @@
 
 #[derive(Clone, Debug)]
 pub enum StateCall {
-    Txn { ticket: u64, txn: Txn },
-    Changes { kind: ReadKind, after: u64, wait_ms: u64 },
-    Page { after: Option<String> },
-    NewLease { ttl_ms: u64 },
-    Touch { lease: u64 },
+    /// `urgent`: a user waits for it.
+    Txn {
+        ticket: u64,
+        txn: Txn,
+        urgent: bool,
+    },
+    Changes {
+        kind: ReadKind,
+        after: u64,
+        wait_ms: u64,
+    },
+    Page {
+        after: Option<String>,
+    },
+    NewLease {
+        ttl_ms: u64,
+    },
+    Touch {
+        lease: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -23,6 +23,13 @@
     Jobs(Vec<JobId>),
 }
 
+impl Purpose {
+    /// A user waits for it.
+    fn urgent(&self) -> bool {
+        matches!(self, Purpose::Submit(_) | Purpose::Cancel(_))
+    }
+}
+
 enum Stage {
     Sent,
     Again(Micros),
@@ -85,7 +92,7 @@
     pub(super) fn submit_txn(&mut self, draft: Draft, purpose: Purpose) {
         self.txns.next_ticket += 1;
         let ticket = self.txns.next_ticket;
-        self.out.push(Effect::State(StateCall::Txn { ticket, txn: draft.txn.clone() }));
+        self.out.push(Effect::State(StateCall::Txn { ticket, txn: draft.txn.clone(), urgent: purpose.urgent() }));
         self.txns.pending.insert(ticket, Pending { txn: draft.txn, purpose, stage: Stage::Sent, tries: 1 });
     }
 
@@ -116,7 +123,7 @@
                 // Whoever submits or cancels asks again; the conditions make repeats harmless,
                 // also if the unanswered one is applied later. Only a refusal is worth one
                 // quick try more.
-                let user = matches!(pending.purpose, Purpose::Submit(_) | Purpose::Cancel(_));
+                let user = pending.purpose.urgent();
                 if user && (failure == Failure::Unknown || pending.tries >= 2) {
                     let Some(pending) = self.txns.pending.remove(&ticket) else { return };
                     self.txn_over(&pending.purpose, false);
@@ -135,7 +142,11 @@
             if matches!(pending.stage, Stage::Again(at) if at <= now) {
                 pending.stage = Stage::Sent;
                 pending.tries += 1;
-                self.out.push(Effect::State(StateCall::Txn { ticket: *ticket, txn: pending.txn.clone() }));
+                self.out.push(Effect::State(StateCall::Txn {
+                    ticket: *ticket,
+                    txn: pending.txn.clone(),
+                    urgent: pending.purpose.urgent(),
+                }));
             }
         }
         if self.txns.awaiting_read() {
--- a/src/transport/calls.rs
+++ b/src/transport/calls.rs
@@ -70,7 +70,11 @@
 
     pub async fn state(&self, call: StateCall) -> Command {
         match call {
-            StateCall::Txn { ticket, txn } => Command::Txn { ticket, outcome: self.txn(&txn).await },
+            StateCall::Txn { ticket, txn, urgent } => {
+                // Records can wait a moment for the next free write, users can't.
+                let class = if urgent { Class::Renewal } else { Class::Transaction };
+                Command::Txn { ticket, outcome: self.txn(&txn, class).await }
+            }
             StateCall::Changes { kind, after, wait_ms } => {
                 let path = state::changes_path(self.prefix, after, wait_ms);
                 let limit = match kind {
@@ -111,13 +115,12 @@
         }
     }
 
-    async fn txn(&self, txn: &state::Txn) -> TxnOutcome {
+    async fn txn(&self, txn: &state::Txn, class: Class) -> TxnOutcome {
         let cost = txn.writes.len() as f64;
-        if !self.state_writes.acquire(cost, Class::Transaction, self.state_limit).await {
+        if !self.state_writes.acquire(cost, class, self.state_limit).await {
             return TxnOutcome::Failed(Failure::NotDone);
         }
-        let answer =
-            self.state_call(Class::Transaction, Method::POST, state::TXN_PATH, encode(txn), self.state_limit).await;
+        let answer = self.state_call(class, Method::POST, state::TXN_PATH, encode(txn), self.state_limit).await;
         match answer {
             Ok(a) if a.status == 200 || a.status == 409 => match read::<state::Committed>(&a) {
                 Some(c) if a.status == 200 => TxnOutcome::Committed(c.revision),
--- a/src/transport/limits.rs
+++ b/src/transport/limits.rs
@@ -18,7 +18,7 @@
     fn reserve(self) -> f64 {
         match self {
             Class::Renewal => 0.0,
-            Class::Transaction => 0.1,
+            Class::Transaction => 0.2,
             Class::Read => 0.3,
         }
     }
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -105,7 +105,7 @@
 
     pub fn answer(&mut self, now: u64, request: &StateCall) -> Command {
         match request {
-            StateCall::Txn { ticket, txn } => Command::Txn { ticket: *ticket, outcome: self.txn(txn) },
+            StateCall::Txn { ticket, txn, .. } => Command::Txn { ticket: *ticket, outcome: self.txn(txn) },
             StateCall::Changes { kind, after, .. } => {
                 Command::Changes { kind: *kind, outcome: ReadOutcome::Got(self.changes(*after)) }
             }
