--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -565,7 +565,7 @@
     }
 
     fn within_limit_count(&self, team: &str, used: &Room, each: &Room) -> u64 {
-        let Some(team) = self.platform.deployment.teams.iter().find(|t| t.name == team) else { return u64::MAX };
+        let Some(team) = self.platform.deployment.team(team) else { return u64::MAX };
         let limit = Room::new(team.cpus_max, team.gpus_max, 0.0);
         let by = |limit: u64, used: u64, each: u64| {
             if limit == 0 || each == 0 { u64::MAX } else { limit.saturating_sub(used) / each }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -118,9 +118,7 @@
     }
 
     fn within_guarantee(&self, job: &Job) -> bool {
-        let Some(team) =
-            job.spec.team.as_ref().and_then(|n| self.platform.deployment.teams.iter().find(|t| t.name == *n))
-        else {
+        let Some(team) = job.spec.team.as_ref().and_then(|name| self.platform.deployment.team(name)) else {
             return false;
         };
         let guaranteed = Room::new(team.cpus, team.gpus, 0.0);
@@ -235,9 +233,7 @@
     }
 
     fn within_limit(&self, job: &Job, used: &Room) -> bool {
-        let Some(team) =
-            job.spec.team.as_ref().and_then(|n| self.platform.deployment.teams.iter().find(|t| t.name == *n))
-        else {
+        let Some(team) = job.spec.team.as_ref().and_then(|name| self.platform.deployment.team(name)) else {
             return true;
         };
         let limit = Room::new(team.cpus_max, team.gpus_max, 0.0);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -210,7 +210,7 @@
             Kind::Gang | Kind::Service => room.times(u64::from(spec.tasks)),
         };
         if let Some(name) = &spec.team {
-            let Some(team) = self.platform.deployment.teams.iter().find(|t| t.name == *name) else {
+            let Some(team) = self.platform.deployment.team(name) else {
                 return never("unknown team");
             };
             // A limit of 0 means none.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -117,6 +117,12 @@
     pub fd_limit: usize,
 }
 
+impl Deployment {
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+}
+
 impl Platform {
     pub fn load(path: &Path) -> Result<Platform, SettingsError> {
         let shown = path.display().to_string();
