Probe between reports only where services run; one budget of sockets; standstills

Ruled out: the core's own work (native profile of one controller with 300 workers: a few percent), memory, connections. Now only machines with services are probed between reports, at most probes_per_s by a controller, those heard longest ago first; all others once their report is late. What speaks for a cut is therefore counted among those that were asked, and by zone as well: most of a zone silent is a cut, its machines work on. The last two were also quadratic with hundreds silent, as was the choice of what to rent. Found by a world test once probes were rarer: the answer to a report that is not newer than the last renewed the lease of a worker that had begun anew, which counted as run out: ran_twice. Such a report is refused now and the machine asked directly; an answer numbered below what it showed before the question proves a new beginning. Also, from reading: connections, idle and under way, share fd_limit; when full, workers and users are asked to connect anew and the health check still gets through; a controller that stood still counts the silence as its own (world tests: 1, 5, 30 and 60 s, leader, owner, two, an outage).

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -733,12 +733,20 @@
         let most = u64::from(self.policy.boots_max).max(by_size);
         let mut room_left = most.saturating_sub(self.leader.boots.len() as u64);
         let mut orders: BTreeMap<Offer, u32> = BTreeMap::new();
+        // Counted once: a walk over all machines for each one to be rented took most of a second.
+        let mut by_zone: BTreeMap<String, u64> = BTreeMap::new();
+        for record in self.replica.machines.values() {
+            match by_zone.get_mut(&record.value.zone) {
+                Some(count) => *count += 1,
+                None => *by_zone.entry(record.value.zone.clone()).or_default() = 1,
+            }
+        }
         let mut fresh: Vec<Slot> = Vec::new();
         for u in unmet {
             let mut zones = u.zones.clone();
             let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut zones);
             while count > 0 && room_left > 0 {
-                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &orders) else { break };
+                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &by_zone) else { break };
                 let mut slot = Slot {
                     id: None,
                     machine_type: offer.0.clone(),
@@ -753,6 +761,7 @@
                 }
                 count -= taken;
                 fresh.push(slot);
+                *by_zone.entry(offer.1.clone()).or_default() += 1;
                 *orders.entry(offer).or_default() += 1;
                 room_left -= 1;
             }
@@ -768,12 +777,13 @@
         }
     }
 
-    /// The offer with the lowest price for each task it can hold.
+    /// The offer with the lowest price for each task it can hold. `by_zone`: machines there are and
+    /// are to be.
     fn cheapest(
         &self,
         spec: &JobSpec,
         zones: &BTreeMap<String, u64>,
-        orders: &BTreeMap<Offer, u32>,
+        by_zone: &BTreeMap<String, u64>,
     ) -> Option<(Offer, Room)> {
         let need = spec.room();
         let most = u64::from(spec.tasks.div_ceil(2));
@@ -797,8 +807,7 @@
                     let price = if spot { info.wire.spot_price.unwrap_or(info.wire.price) } else { info.wire.price };
                     let cost = (price / tasks as f64 * 1e6) as u64;
                     // Among equals the zone with the fewest machines.
-                    let here = self.replica.machines.values().filter(|m| m.value.zone == *zone).count() as u64
-                        + orders.iter().filter(|(o, _)| o.1 == *zone).map(|(_, n)| u64::from(*n)).sum::<u64>();
+                    let here = by_zone.get(zone).copied().unwrap_or(0);
                     if best.as_ref().is_none_or(|(b, ..)| (cost, here) < *b) {
                         best = Some(((cost, here), offer, info.room));
                     }
--- a/src/coordination/lives.rs
+++ b/src/coordination/lives.rs
@@ -1,7 +1,7 @@
 //! Starts not proven gone and out of the books, with the sums kept over them: what each machine
 //! has and gives, what each team uses. A start's phase changes only here, so that no sum is missed.
 
-use crate::protocol::user::JobSpec;
+use crate::protocol::user::{JobSpec, Kind};
 use crate::protocol::worker::Why;
 use crate::units::{JobId, MachineId, Micros, Room};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -76,6 +76,8 @@
     /// Taken by those that occupy room.
     pub room: Room,
     pub occupying: u32,
+    /// Of these those of services.
+    pub services: u32,
 }
 
 /// Sums over the starts of all jobs.
@@ -108,6 +110,11 @@
         self.machines.get(machine).is_some_and(|p| p.occupying > 0)
     }
 
+    /// Whether a service has a task there.
+    pub fn serves(&self, machine: &MachineId) -> bool {
+        self.machines.get(machine).is_some_and(|p| p.services > 0)
+    }
+
     pub fn used_on(&self, machine: &MachineId) -> Room {
         self.machines.get(machine).map(|p| p.room).unwrap_or_default()
     }
@@ -121,9 +128,11 @@
         if more {
             placed.room = placed.room.plus(&lives.room);
             placed.occupying += 1;
+            placed.services += u32::from(lives.service);
         } else {
             placed.room = placed.room.minus(&lives.room);
             placed.occupying -= 1;
+            placed.services -= u32::from(lives.service);
             self.freed.insert(machine.clone());
         }
         if let Some(team) = &lives.team {
@@ -142,6 +151,7 @@
     job: JobId,
     room: Room,
     team: Option<String>,
+    service: bool,
     map: BTreeMap<u32, Live>,
     occupying: u32,
     proposed: u32,
@@ -150,7 +160,8 @@
 impl Lives {
     pub fn new(job: JobId, spec: &JobSpec) -> Lives {
         let team = spec.team.clone();
-        Lives { job, room: spec.room(), team, map: BTreeMap::new(), occupying: 0, proposed: 0 }
+        let service = spec.kind == Kind::Service;
+        Lives { job, room: spec.room(), team, service, map: BTreeMap::new(), occupying: 0, proposed: 0 }
     }
 
     pub fn get(&self, task: u32) -> Option<&Live> {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -22,6 +22,9 @@
 /// Usual pause between new terms for machines in doubt.
 const FENCE_EVERY: Micros = Micros::from_millis(1000);
 
+/// With fewer silent machines in a zone nothing is concluded about the zone.
+const ZONE_LOST_LEAST: usize = 3;
+
 /// How often all machines are looked over.
 const MACHINES_EVERY: Micros = Micros::from_millis(100);
 
@@ -44,6 +47,35 @@
     void: bool,
 }
 
+/// When machines were last heard: those that failed to answer since, and all. Those that were not
+/// asked since and whose report isn't due tell nothing. Sorted once, as with hundreds silent a walk
+/// over all for each would stop everything else.
+struct Contacts {
+    failing: Vec<Micros>,
+    all: Vec<Micros>,
+}
+
+impl Contacts {
+    fn of<'a>(machines: impl Iterator<Item = &'a Machine>) -> Contacts {
+        let (mut failing, mut all) = (Vec::new(), Vec::new());
+        for machine in machines {
+            all.push(machine.heard);
+            if machine.probes_failed > 0 {
+                failing.push(machine.heard);
+            }
+        }
+        failing.sort_unstable();
+        all.sort_unstable();
+        Contacts { failing, all }
+    }
+
+    /// How many have failed to answer and were not heard after a moment, and how many were.
+    fn since(&self, moment: Micros) -> (usize, usize) {
+        let lost = self.failing.partition_point(|at| *at <= moment);
+        (lost, self.all.len() - self.all.partition_point(|at| *at <= moment))
+    }
+}
+
 /// Failed tasks of one job on one machine.
 struct Failures {
     count: u32,
@@ -79,6 +111,10 @@
     /// A direct message is on its way.
     direct: bool,
     direct_token: Term,
+    /// Newest message's session and number when it was sent.
+    direct_after: (u64, u64),
+    /// Its last report was not newer than the one before.
+    ask: bool,
     push: bool,
     /// A direct command under this token got no answer and may be carried out at any time.
     doubt: Option<Term>,
@@ -87,6 +123,8 @@
     /// alone does not undo them: it may come from a machine that can send but not hear.
     unanswered: u32,
     unanswered_since: Micros,
+    /// Last sign that something sent to it arrived.
+    heard_us: Micros,
     /// The newest report: session, number, and whether it came straight from the worker.
     checkin: (u64, u64, bool),
     next_probe: Micros,
@@ -125,9 +163,17 @@
         self.unanswered >= probes && now.since(self.unanswered_since) >= span
     }
 
+    /// We stood still for so long: that it was not heard meanwhile says nothing.
+    pub fn excuse(&mut self, now: Micros, pause: Micros) {
+        self.heard = (self.heard + pause).min(now);
+        self.unanswered_since = (self.unanswered_since + pause).min(now);
+        self.probes_failed = 0;
+    }
+
     /// A sign that something sent to it arrived.
-    fn hears(&mut self) {
+    fn hears(&mut self, now: Micros) {
         self.unanswered = 0;
+        self.heard_us = now;
     }
 
     fn message_failed(&mut self, now: Micros) {
@@ -308,14 +354,15 @@
         let machine = self.machines.entry(id.clone()).or_default();
         let (session, seq, straight) = machine.checkin;
         if (report.session, report.seq) <= (session, seq) {
-            // A copy of a report we have seen. Whatever is said to it, no worker waits for it any
-            // more, or it waits for the same words as before: it renews no lease, and nobody has
-            // heard orders because of it.
-            return Some(WorkerAnswer::Orders(Orders { token, orders: Vec::new() }));
+            // A copy of a report we have seen, for which nobody waits any more. Or a worker that began
+            // anew and counts from the start: an answer would renew a lease that we then take for run
+            // out. Asked directly it can't show less than it did before, unless it has begun anew.
+            machine.ask = true;
+            return Some(WorkerAnswer::Unavailable);
         }
         // A worker that did not hear our last answer would have gone to another controller first.
         if straight && !relayed && session == report.session && report.seq == seq + 1 {
-            machine.hears();
+            machine.hears(now);
         }
         machine.checkin = (report.session, report.seq, !relayed);
         self.take_report(&report, true);
@@ -573,8 +620,8 @@
         let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 2.0);
         for id in std::mem::take(&mut self.pushes) {
             let Some(machine) = self.machines.get(&id).filter(|m| m.push) else { continue };
-            if machine.direct {
-                // Once the message on its way is answered.
+            if machine.direct || self.direct_open >= self.direct_most {
+                // Once the message on its way is answered, or there is room for one more.
                 self.pushes.insert(id);
                 continue;
             }
@@ -604,11 +651,15 @@
         if let Some(machine) = self.machines.get_mut(id) {
             machine.direct = true;
             machine.direct_token = orders.token;
+            machine.direct_after = (machine.session, machine.seq);
+            machine.ask = false;
         }
+        self.direct_open += 1;
         self.out.push(Effect::Orders { machine: id.clone(), addr, orders });
     }
 
     pub(super) fn orders_outcome(&mut self, id: &MachineId, outcome: OrdersOutcome) {
+        self.direct_open = self.direct_open.saturating_sub(1);
         let token = self.token(id);
         let now = self.now();
         let booked = self.replica.machines.contains_key(id);
@@ -617,7 +668,7 @@
         if let OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) = &outcome
             && report.machine == *id
         {
-            machine.hears();
+            machine.hears(now);
             if !booked && self.is_leader() {
                 self.leader.alive.insert(id.clone(), now);
                 return;
@@ -634,10 +685,9 @@
                     self.reads.wanted = true;
                     return;
                 }
-                // It just answered, so this is how it stands, and yet it knows less than before: its
+                // It answered what was sent after its newest message, and yet shows a smaller number: its
                 // worker began anew and what was on it is gone. Sessions can't tell, a deletion can.
-                let regressed =
-                    report.token < machine.token_seen && (report.session, report.seq) < (machine.session, machine.seq);
+                let regressed = (report.session, report.seq) <= machine.direct_after;
                 if regressed {
                     tracing::warn!(machine = %id, "the worker has forgotten its session");
                     self.set_hold(id, Hold::Doomed);
@@ -693,6 +743,7 @@
         self.judge_contact(&ours);
         self.expire_leases(&ours);
         self.probe(&ours);
+        self.judge_deaf(&ours);
         self.replace_silent(&ours);
         self.replace_mute(&ours);
         self.fence_doubtful(&ours);
@@ -726,17 +777,38 @@
         }
     }
 
+    /// Asks for a sign of life: machines that didn't answer or whose report is late, and between their
+    /// reports those with services, whose loss is felt at once. The latter only as far as the rate of
+    /// probes allows, those heard longest ago first: a controller that holds all shares would do little
+    /// else. What has no place now comes first in the next round.
     fn probe(&mut self, ours: &[MachineId]) {
         let now = self.now();
-        let after = Micros::from_millis(self.policy.probe_after_ms);
+        let early = Micros::from_millis(self.policy.probe_after_ms);
+        let late = Micros::from_secs_f64(self.platform.deployment.workers.report_s * self.policy.report_late_part);
+        let mut due: Vec<(bool, Micros, &MachineId)> = Vec::new();
         for id in ours {
-            let Some(token) = self.token(id) else { continue };
-            let Some(machine) = self.machines.get_mut(id) else { continue };
+            let Some(machine) = self.machines.get(id) else { continue };
+            let silence = now.since(machine.heard);
             // Also one that reports but did not answer the last message.
-            let quiet = now.since(machine.heard) >= after || machine.unanswered > 0;
-            if machine.direct || !quiet || now < machine.next_probe {
-                continue;
+            let suspect = machine.unanswered > 0 || machine.ask || silence >= late.max(early);
+            let wanted = suspect || (silence >= early && self.sums.serves(id));
+            if wanted && !machine.direct && now >= machine.next_probe {
+                due.push((!suspect, machine.heard, id));
             }
+        }
+        due.sort_unstable();
+        let rate = self.policy.probes_per_s;
+        self.probes_left = (self.probes_left + now.since(self.probed_at).secs() * rate).min(rate.max(1.0));
+        self.probed_at = now;
+        for (routine, _, id) in due {
+            if self.direct_open >= self.direct_most || (routine && self.probes_left < 1.0) {
+                break;
+            }
+            if routine {
+                self.probes_left -= 1.0;
+            }
+            let Some(token) = self.token(id) else { continue };
+            let Some(machine) = self.machines.get_mut(id) else { continue };
             let Some(addr) = machine.addr else { continue };
             machine.next_probe = now + Micros::from_millis(self.policy.probe_ms);
             let session = machine.session.max(1);
@@ -750,7 +822,7 @@
         let Some(addr) = addr.and_then(|a| a.parse().ok()) else { return };
         let now = self.now();
         let machine = self.machines.entry(id.clone()).or_default();
-        if machine.direct || now < machine.next_probe {
+        if machine.direct || now < machine.next_probe || self.direct_open >= self.direct_most {
             return;
         }
         machine.next_probe = now + Micros::from_millis(self.policy.probe_ms);
@@ -798,26 +870,58 @@
         // Machines go silent one by one even if all are cut off at once, as each was last heard at
         // a moment of its own. So the others must have been heard well after this one fell silent.
         let gap = Micros::from_millis(self.policy.probe_after_ms + self.policy.probe_ms);
-        // Nor may many fail to answer: those that can send but not hear look alive in turns. When such
-        // a time ends, they are heard again one by one, and the last ones need a while.
-        let deaf = ours.iter().filter(|id| self.machines.get(*id).is_some_and(|m| m.unanswered >= 2)).count();
-        if deaf as f64 > (ours.len() as f64 * self.policy.replace_max_part).max(2.0) {
-            self.many_deaf = Some(now);
-        }
         if self.many_deaf.is_some_and(|at| now.since(at) < after) {
             return;
         }
+        if silent.is_empty() {
+            return;
+        }
+        let others = Contacts::of(ours.iter().filter_map(|id| self.machines.get(id)));
+        let mut zones: BTreeMap<&str, Contacts> = BTreeMap::new();
+        let mut lost_for_good = Vec::new();
         for id in silent {
             let Some(last) = self.machines.get(&id).map(|m| m.heard) else { continue };
-            let others = ours.iter().filter(|o| **o != id).filter_map(|o| self.machines.get(o));
-            let (all, heard) =
-                others.fold((0u32, 0u32), |(all, heard), m| (all + 1, heard + u32::from(m.heard > last + gap)));
+            let Some(zone) = self.replica.machines.get(&id).map(|m| m.value.zone.as_str()) else { continue };
+            let in_zone = zones.entry(zone).or_insert_with(|| {
+                let there = |id: &&MachineId| self.replica.machines.get(*id).is_some_and(|m| m.value.zone == zone);
+                Contacts::of(ours.iter().filter(there).filter_map(|id| self.machines.get(id)))
+            });
+            let (lost, heard) = others.since(last + gap);
+            let (lost_there, heard_there) = in_zone.since(last + gap);
+            // It is itself among the lost.
+            let (lost, all) = (lost.saturating_sub(1), (lost + heard).saturating_sub(1));
             // With hardly any other to compare with, more patience.
             let alone = all < 2 && now.since(last) < Micros(after.0 * 3);
-            if !alone && f64::from(all - heard) <= f64::from(all) * self.policy.replace_max_part {
-                self.set_hold(&id, Hold::Doomed);
+            let many = lost as f64 > all as f64 * self.policy.replace_max_part;
+            // Most of its zone and hardly anything else: the zone is cut off, its machines work on.
+            let zone_lost = lost_there >= ZONE_LOST_LEAST
+                && lost_there as f64 > (lost_there + heard_there) as f64 * self.policy.zone_max_part;
+            if !alone && !many && !zone_lost {
+                lost_for_good.push(id);
             }
         }
+        for id in lost_for_good {
+            self.set_hold(&id, Hold::Doomed);
+        }
+    }
+
+    /// How many machines fail to answer, and of how many that can be said: of those that heard something
+    /// since the first of them fell silent, too. The rest were sent nothing.
+    fn deaf_of(&self, ours: &[MachineId]) -> (usize, usize) {
+        let machines = || ours.iter().filter_map(|id| self.machines.get(id));
+        let deaf = || machines().filter(|m| m.unanswered >= 2);
+        let Some(since) = deaf().map(|m| m.unanswered_since).min() else { return (0, ours.len()) };
+        let count = deaf().count();
+        (count, count + machines().filter(|m| m.unanswered < 2 && m.heard_us > since).count())
+    }
+
+    /// Machines that can send but not hear look alive in turns, and when such a time ends they are heard
+    /// again one by one. While many fail to answer, and a while after, none is judged by that.
+    fn judge_deaf(&mut self, ours: &[MachineId]) {
+        let (deaf, known) = self.deaf_of(ours);
+        if deaf as f64 > (known as f64 * self.policy.replace_max_part).max(2.0) {
+            self.many_deaf = Some(self.now());
+        }
     }
 
     /// A machine whose reports arrive though nothing reaches it: its lease runs out again and again,
@@ -831,9 +935,13 @@
             .filter(|id| self.machines.get(*id).is_some_and(|m| m.is_mute(now, self.policy.mute_probes, span)))
             .cloned()
             .collect();
-        let most = (ours.len() as f64 * self.policy.replace_max_part).max(1.0);
+        if mute.is_empty() {
+            return;
+        }
+        let (_, known) = self.deaf_of(ours);
+        let most = (known as f64 * self.policy.replace_max_part).max(1.0);
         let many = self.many_deaf.is_some_and(|at| now.since(at) < span);
-        if !many && mute.len() as f64 <= most && ours.len() > mute.len() {
+        if !many && mute.len() as f64 <= most && known > mute.len() {
             for id in &mute {
                 self.set_hold(id, Hold::Doomed);
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -254,6 +254,12 @@
     machines: BTreeMap<MachineId, machines::Machine>,
     /// Machines that are to be told something before they report.
     pushes: BTreeSet<MachineId>,
+    /// Direct messages on their way, and how many there may be: each takes a socket.
+    direct_open: usize,
+    direct_most: usize,
+    /// Probes between reports that may go now, and as of when.
+    probes_left: f64,
+    probed_at: Micros,
     /// Last answer of the state service that was no refusal.
     state_heard: Micros,
     next_machines: Micros,
@@ -275,11 +281,15 @@
     next_nonce: u64,
 }
 
+/// Without any command for so long a process has stood still.
+const STANDSTILL: Micros = Micros::from_millis(1000);
+
 impl Core {
     /// `seed` must differ between processes: it names this incarnation.
     pub fn new(platform: Arc<Platform>, policy: Arc<Policy>, seed: u64) -> Core {
         let mut rng = SmallRng::seed_from_u64(seed);
         let incarnation = rng.random::<u64>() >> 12;
+        let direct_most = platform.deployment.quota.part_of_sockets(policy.direct_part);
         Core {
             label: platform.label.clone(),
             budget: budget::Budget::new(
@@ -306,6 +316,10 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             pushes: BTreeSet::new(),
+            direct_open: 0,
+            direct_most,
+            probes_left: 0.0,
+            probed_at: Micros::ZERO,
             state_heard: Micros::ZERO,
             next_machines: Micros::ZERO,
             next_fence: Micros::ZERO,
@@ -336,7 +350,11 @@
     }
 
     pub fn handle(&mut self, clock: Clock, command: Command) {
+        let pause = clock.steady.since(self.clock.steady);
         self.clock = clock;
+        if self.sync.done && pause >= STANDSTILL {
+            self.stood_still(pause);
+        }
         if command.is_word_of_state() {
             self.state_heard = clock.steady;
         }
@@ -353,6 +371,20 @@
         }
     }
 
+    /// This process did nothing for a while, though its clocks ran on: ticks come far more often. The
+    /// silence was its own. How long others were not heard counts from before; whether its session
+    /// has lasted is found out first. Workers' leases ran on, so what was answered when stays.
+    fn stood_still(&mut self, pause: Micros) {
+        tracing::warn!(ms = pause.millis(), "stood still");
+        let now = self.now();
+        for machine in self.machines.values_mut() {
+            machine.excuse(now, pause);
+        }
+        self.many_deaf = self.many_deaf.map(|_| now);
+        self.renew_session_at_once();
+        self.reads.wanted = true;
+    }
+
     fn tick(&mut self) {
         self.tick_reads();
         self.tick_session();
@@ -419,6 +451,7 @@
         fresh.out = std::mem::take(&mut self.out);
         fresh.types = std::mem::take(&mut self.types);
         fresh.next_call = self.next_call;
+        fresh.direct_open = self.direct_open;
         for waiter in self.users.all_waiters() {
             fresh.out.push(Effect::AnswerUser(waiter, UserAnswer::Unavailable { retry_after_s: 1 }));
         }
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -81,6 +81,11 @@
         self.out.push(Effect::State(call));
     }
 
+    pub(super) fn renew_session_at_once(&mut self) {
+        self.session.next = self.now();
+        self.tick_session();
+    }
+
     pub(super) fn lease_outcome(&mut self, outcome: LeaseOutcome) {
         self.session.in_flight = false;
         let renew = Micros::from_millis(self.policy.session_ms / 4);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -124,6 +124,13 @@
     }
 }
 
+impl Quota {
+    /// So many sockets, at least a few.
+    pub fn part_of_sockets(&self, part: f64) -> usize {
+        ((self.fd_limit as f64 * part) as usize).max(8)
+    }
+}
+
 impl Deployment {
     /// Whether jobs of teams without limit and guarantee are parted over the shares one by one. Where the
     /// teams make use of most shares they stay whole: the more parts, the more scraps of room.
@@ -310,8 +317,12 @@
     round_budget_us: u64 = 4000, 100, 1000000;
     /// Batch work that waits is looked at no more often than this; urgent work at once.
     pass_gap_ms: u64 = 50, 0, 10000;
-    /// Silence of a machine after which it is probed.
+    /// Silence of a machine with services after which it is probed between its reports.
     probe_after_ms: u64 = 1500, 100, 600000;
+    /// Such probes a controller sends in a second at most.
+    probes_per_s: f64 = 60.0, 0.0, 10000.0;
+    /// Any other machine is probed once it has been silent for this many times the time between reports.
+    report_late_part: f64 = 1.6, 1.0, 100.0;
     /// Pause between probes of a silent machine, and how long one may take.
     probe_ms: u64 = 1000, 100, 60000;
     /// Probes of a machine that must fail in a row before it is replaced.
@@ -320,6 +331,8 @@
     replace_after_ms: u64 = 5000, 1000, 600000;
     /// When more than this part of the machines is silent, the fault is taken to be elsewhere.
     replace_max_part: f64 = 0.25, 0.0, 1.0;
+    /// When more than this part of a zone's machines is silent, and others are not, the zone is taken to be cut off.
+    zone_max_part: f64 = 0.5, 0.0, 1.0;
     /// A controller that has not heard from most of its machines for this long gives its shares to a sibling.
     lose_contact_ms: u64 = 6000, 1000, 600000;
     /// Direct messages to a machine that must go unanswered in a row, though its reports arrive, before it is
@@ -356,6 +369,10 @@
     boots_max: u32 = 12, 1, 1000;
     /// In a large deployment machines may boot at a time up to this part of those that are up.
     boots_part: f64 = 1.0, 0.0, 10.0;
+    /// Part of the sockets for idle connections to machines and services.
+    idle_part: f64 = 0.2, 0.01, 0.4;
+    /// Part of the sockets for direct messages to machines that are on their way; others wait.
+    direct_part: f64 = 0.1, 0.01, 0.4;
     /// Grace for a task that can save.
     stop_grace_s: f64 = 30.0, 0.0, 600.0;
 }
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -7,47 +7,87 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 type Sender = SendRequest<Full<Bytes>>;
 
-/// Idle connections kept for each address, and addresses kept at all.
+/// Idle connections kept for each address.
 const IDLE_EACH: usize = 8;
-const ADDRESSES_MAX: usize = 1024;
+/// Idle connections kept in all, unless the deployment's limit of sockets says otherwise.
+const IDLE_MOST: usize = 256;
 /// A connection not used for so long is closed.
 const IDLE_SPAN: Duration = Duration::from_secs(20);
 const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
 /// Larger than any answer a well-behaved service gives.
 const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
 
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     idle: Arc<Mutex<Idle>>,
 }
 
+impl Default for Client {
+    fn default() -> Client {
+        Client::keeping(IDLE_MOST)
+    }
+}
+
 /// Connections kept for the next call, with when each was last used.
-#[derive(Default)]
 struct Idle {
     kept: HashMap<SocketAddr, Vec<(Sender, Instant)>>,
-    swept: Option<Instant>,
+    count: usize,
+    most: usize,
+    /// Those kept, the least recently used first, among some that were taken or closed since.
+    order: VecDeque<(SocketAddr, Instant)>,
 }
 
 impl Idle {
-    /// Closes what nobody has used for long: there may be many more machines than calls.
-    fn sweep(&mut self, now: Instant) {
-        if self.swept.is_some_and(|at| now.duration_since(at) < IDLE_SPAN / 4) {
+    fn take(&mut self, addr: SocketAddr) -> Option<Sender> {
+        let list = self.kept.get_mut(&addr)?;
+        while let Some((sender, _)) = list.pop() {
+            self.count -= 1;
+            if !sender.is_closed() && sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        self.kept.remove(&addr);
+        None
+    }
+
+    fn keep(&mut self, addr: SocketAddr, sender: Sender, now: Instant) {
+        let list = self.kept.entry(addr).or_default();
+        if list.len() >= IDLE_EACH {
             return;
         }
-        self.swept = Some(now);
-        self.kept.retain(|_, list| {
-            list.retain(|(sender, used)| !sender.is_closed() && now.duration_since(*used) < IDLE_SPAN);
-            !list.is_empty()
-        });
+        list.push((sender, now));
+        self.count += 1;
+        self.order.push_back((addr, now));
+        self.make_way(now);
+    }
+
+    /// Closes what nobody has used for long, and the least recently used while there are too many:
+    /// there may be many more machines than sockets.
+    fn make_way(&mut self, now: Instant) {
+        while let Some((addr, used)) = self.order.front().copied() {
+            let old = now.duration_since(used) >= IDLE_SPAN;
+            if !old && self.count <= self.most && self.order.len() <= self.most * 4 {
+                break;
+            }
+            self.order.pop_front();
+            if let Some(list) = self.kept.get_mut(&addr) {
+                let before = list.len();
+                list.retain(|(_, at)| *at != used);
+                self.count -= before - list.len();
+                if list.is_empty() {
+                    self.kept.remove(&addr);
+                }
+            }
+        }
     }
 }
 
@@ -59,30 +99,19 @@
 }
 
 impl Client {
-    fn take_idle(&self, addr: SocketAddr) -> Option<Sender> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.kept.get_mut(&addr)?;
-        while let Some((sender, _)) = list.pop() {
-            if !sender.is_closed() && sender.is_ready() {
-                return Some(sender);
-            }
-        }
-        None
+    /// A client that keeps at most so many idle connections.
+    pub fn keeping(most: usize) -> Client {
+        let idle = Idle { kept: HashMap::new(), count: 0, most, order: VecDeque::new() };
+        Client { idle: Arc::new(Mutex::new(idle)) }
     }
 
-    fn keep(&self, addr: SocketAddr, sender: Sender) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = Instant::now();
-        idle.sweep(now);
-        if idle.kept.len() >= ADDRESSES_MAX && !idle.kept.contains_key(&addr) {
-            // Any one makes way; dropping all would mean connecting anew to everyone at once.
-            let other = idle.kept.keys().next().copied();
-            other.map(|addr| idle.kept.remove(&addr));
-        }
-        let list = idle.kept.entry(addr).or_default();
-        if list.len() < IDLE_EACH {
-            list.push((sender, now));
-        }
+    /// Connections kept open for later calls.
+    pub fn idle(&self) -> usize {
+        self.locked().count
+    }
+
+    fn locked(&self) -> MutexGuard<'_, Idle> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn connect(addr: SocketAddr) -> Result<Sender, Failure> {
@@ -124,7 +153,8 @@
                 .body(Full::new(body.clone()))
                 .map_err(|_| Failure::NotDone)
         };
-        let mut sender = match self.take_idle(addr) {
+        let kept = self.locked().take(addr);
+        let mut sender = match kept {
             Some(sender) => sender,
             None => Client::connect(addr).await?,
         };
@@ -142,7 +172,7 @@
             response.headers().get("retry-after").and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
         let body = Limited::new(response.into_body(), ANSWER_LIMIT);
         let body = body.collect().await.map_err(|_| Failure::Unknown)?.to_bytes();
-        self.keep(addr, sender);
+        self.locked().keep(addr, sender, Instant::now());
         Ok(Answer { status, retry_after_s, body })
     }
 }
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -2,7 +2,7 @@
 
 use super::calls::{Services, spawn};
 use super::client::Client;
-use super::server::{Ask, Bounces, Gate, Standing, look_at_siblings, serve};
+use super::server::{Bounces, Gate, Standing, UserAsk, WorkerAsk, look_at_siblings, serve};
 use crate::coordination::{Clock, Command, Core, Effect, UserAnswer, Waiter, WorkerAnswer};
 use crate::settings::{Platform, Policy};
 use crate::units::Micros;
@@ -17,11 +17,13 @@
 
 /// Commands of one batch at most, so that effects don't wait for long.
 const BATCH: usize = 64;
-/// Requests that may queue for the core; more are refused at once.
-const ASKS: usize = 512;
+/// Users' requests that may queue for the core; more are refused at once.
+const USER_ASKS: usize = 512;
+/// Reports that may queue for the core; more wait in their sockets.
+const WORKER_ASKS: usize = 256;
 const TICK: Duration = Duration::from_millis(50);
-/// Sockets kept back from users and workers: for siblings, the services and machines.
-const SOCKETS_KEPT: usize = 256;
+/// Connections from siblings.
+const SIBLINGS_MOST: usize = 64;
 
 struct Waiters {
     next: Waiter,
@@ -33,23 +35,28 @@
 pub async fn run(platform: Platform, policy: Policy) -> io::Result<()> {
     let platform = Arc::new(platform);
     let policy = Arc::new(policy);
-    let client = Client::default();
+    let quota = &platform.deployment.quota;
+    let client = Client::keeping(quota.part_of_sockets(policy.idle_part));
     let services = Arc::new(Services::new(&platform, &policy, client.clone()));
-    let (asks, mut asked) = mpsc::channel::<Ask>(ASKS);
+    let (users, mut from_users) = mpsc::channel::<UserAsk>(USER_ASKS);
+    let (workers, mut from_workers) = mpsc::channel::<WorkerAsk>(WORKER_ASKS);
     let (outcomes, mut done) = mpsc::unbounded_channel::<Command>();
     let gate = Arc::new(Gate {
         bounces: Bounces::default(),
-        asks,
+        users,
+        workers,
         standing: Standing::default(),
         siblings: platform.siblings.iter().map(|s| (s.label.clone(), s.address)).collect(),
         client,
     });
-    let sockets = platform.deployment.quota.fd_limit;
-    let kept = SOCKETS_KEPT.min(sockets / 2);
+    // One budget for all sockets: what calls to others and siblings may need is kept back.
+    let calls = quota.part_of_sockets(policy.idle_part) + quota.part_of_sockets(policy.direct_part);
+    let siblings = SIBLINGS_MOST.min(quota.fd_limit / 8);
+    let most = quota.fd_limit.saturating_sub(calls + 2 * siblings).max(quota.fd_limit / 4);
     let public = TcpListener::bind(platform.public_addr).await?;
     let back = TcpListener::bind(platform.back).await?;
-    tokio::spawn(serve(public, gate.clone(), sockets - kept, false));
-    tokio::spawn(serve(back, gate.clone(), kept / 4, true));
+    tokio::spawn(serve(public, gate.clone(), most, false));
+    tokio::spawn(serve(back, gate.clone(), siblings, true));
     tokio::spawn(look_at_siblings(gate.clone()));
 
     let deliver: Arc<dyn Fn(Command) + Send + Sync> = Arc::new(move |command| {
@@ -61,7 +68,7 @@
         wall: Micros(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)),
     };
     let mut core = Core::new(platform.clone(), policy.clone(), rand::random());
-    let mut waiters = Waiters { next: 1, users: HashMap::new(), workers: HashMap::new() };
+    let mut waiters = Waiters { next: 0, users: HashMap::new(), workers: HashMap::new() };
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let budget = Duration::from_micros(policy.round_budget_us);
@@ -74,16 +81,20 @@
             tokio::select! {
                 biased;
                 Some(command) = done.recv() => core.handle(clock(), command),
-                Some(ask) = asked.recv() => take(&mut core, clock(), ask, &mut waiters),
+                Some(ask) = from_users.recv() => waiters.user(&mut core, clock(), ask),
+                Some(ask) = from_workers.recv() => waiters.worker(&mut core, clock(), ask),
                 _ = tick.tick() => core.handle(clock(), Command::Tick),
             }
         }
         for _ in 0..BATCH {
             if let Ok(command) = done.try_recv() {
                 core.handle(clock(), command);
-            } else if let Ok(ask) = asked.try_recv() {
-                take(&mut core, clock(), ask, &mut waiters);
-            } else {
+                continue;
+            }
+            // One of each in turn, so that neither keeps out the other.
+            let user = from_users.try_recv().map(|ask| waiters.user(&mut core, clock(), ask));
+            let worker = from_workers.try_recv().map(|ask| waiters.worker(&mut core, clock(), ask));
+            if user.is_err() && worker.is_err() {
                 break;
             }
         }
@@ -97,18 +108,18 @@
     }
 }
 
-fn take(core: &mut Core, clock: Clock, ask: Ask, waiters: &mut Waiters) {
-    let waiter = waiters.next;
-    waiters.next += 1;
-    match ask {
-        Ask::User(request, back) => {
-            waiters.users.insert(waiter, back);
-            core.handle(clock, Command::User(waiter, request));
-        }
-        Ask::Report { report, relayed, back } => {
-            waiters.workers.insert(waiter, back);
-            core.handle(clock, Command::Report { waiter, report, relayed });
-        }
+impl Waiters {
+    fn user(&mut self, core: &mut Core, clock: Clock, ask: UserAsk) {
+        self.next += 1;
+        self.users.insert(self.next, ask.back);
+        core.handle(clock, Command::User(self.next, ask.request));
+    }
+
+    fn worker(&mut self, core: &mut Core, clock: Clock, ask: WorkerAsk) {
+        let WorkerAsk { report, relayed, back } = ask;
+        self.next += 1;
+        self.workers.insert(self.next, back);
+        core.handle(clock, Command::Report { waiter: self.next, report, relayed });
     }
 }
 
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
@@ -18,23 +18,31 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
-/// A request for the owner of all state, with the way back.
-pub enum Ask {
-    User(UserRequest, oneshot::Sender<UserAnswer>),
-    Report { report: Report, relayed: bool, back: oneshot::Sender<WorkerAnswer> },
+/// A user's request for the owner of all state, with the way back.
+pub struct UserAsk {
+    pub request: UserRequest,
+    pub back: oneshot::Sender<UserAnswer>,
+}
+
+/// A worker's report for the owner of all state, with the way back.
+pub struct WorkerAsk {
+    pub report: Report,
+    pub relayed: bool,
+    pub back: oneshot::Sender<WorkerAnswer>,
 }
 
 /// Users give up after 5 s and workers after 4 s.
 const ANSWER_LIMIT: Duration = Duration::from_millis(3500);
 const BODY_TIME: Duration = Duration::from_secs(5);
 const HEAD_TIME: Duration = Duration::from_secs(75);
+const HEAD_TIME_CROWDED: Duration = Duration::from_secs(2);
 const RELAY_LIMIT: Duration = Duration::from_millis(1500);
 const STANDING_PATH: &str = "/standing";
 const LOOK_EVERY: Duration = Duration::from_millis(500);
@@ -131,7 +139,8 @@
 
 pub struct Gate {
     pub bounces: Bounces,
-    pub asks: mpsc::Sender<Ask>,
+    pub users: mpsc::Sender<UserAsk>,
+    pub workers: mpsc::Sender<WorkerAsk>,
     pub standing: Standing,
     pub siblings: Vec<(String, SocketAddr)>,
     pub client: Client,
@@ -168,11 +177,56 @@
     }
 }
 
-/// Accepts connections for as long as the process lives; at most `most` at a time.
+/// Connections open on one listener, and how many there may be.
+struct Crowd {
+    open: AtomicUsize,
+    most: usize,
+}
+
+/// Counts one connection for as long as it lives.
+struct Place(Arc<Crowd>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Crowd {
+    /// A place for one more connection, if there is any.
+    fn enter(self: &Arc<Crowd>) -> Option<Place> {
+        let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
+        let place = Place(self.clone());
+        (open <= self.most).then_some(place)
+    }
+
+    /// Above half workers are asked to connect anew for their next report, which is seconds away.
+    fn workers_make_way(&self) -> bool {
+        self.open.load(Ordering::Relaxed) * 2 > self.most
+    }
+
+    /// Above three quarters users are, too.
+    fn users_make_way(&self) -> bool {
+        self.open.load(Ordering::Relaxed) * 4 > self.most * 3
+    }
+
+    /// The last eighth is for workers and the health check: users are told to come back, at once.
+    fn is_full(&self) -> bool {
+        self.open.load(Ordering::Relaxed) * 8 > self.most * 7
+    }
+
+    /// How long a connection may stay without a request.
+    fn head_time(&self) -> Duration {
+        if self.users_make_way() { HEAD_TIME_CROWDED } else { HEAD_TIME }
+    }
+}
+
+/// Accepts connections for as long as the process lives; at most `most` at a time. What is beyond
+/// is closed at once: if it waited to be accepted, so would the health check, and the load balancer
+/// would take the controller out just when it is busiest.
 pub async fn serve(listener: TcpListener, gate: Arc<Gate>, most: usize, peers: bool) {
-    let room = Arc::new(Semaphore::new(most));
+    let crowd = Arc::new(Crowd { open: AtomicUsize::new(0), most });
     loop {
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
@@ -182,22 +236,40 @@
                 continue;
             }
         };
+        let Some(place) = crowd.enter() else { continue };
         let _ = stream.set_nodelay(true);
-        let gate = gate.clone();
+        let (gate, crowd) = (gate.clone(), crowd.clone());
         tokio::spawn(async move {
+            let head_time = crowd.head_time();
             let service = service_fn(move |request| {
-                let gate = gate.clone();
-                async move { Ok::<_, Infallible>(answer(&gate, request, peers).await.response()) }
+                let (gate, crowd) = (gate.clone(), crowd.clone());
+                async move { Ok::<_, Infallible>(answer(&gate, &crowd, request, peers).await) }
             });
             let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(32 * 1024);
+            builder.timer(TokioTimer::new()).header_read_timeout(head_time).max_buf_size(32 * 1024);
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-            drop(permit);
+            drop(place);
         });
     }
 }
 
-async fn answer(gate: &Gate, request: Request<Incoming>, peers: bool) -> Plain {
+async fn answer(gate: &Gate, crowd: &Crowd, request: Request<Incoming>, peers: bool) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let (worker, health) = (path == "/checkin", path == "/healthz");
+    let plain = if !worker && !health && !peers && crowd.is_full() {
+        Plain::unavailable(1)
+    } else {
+        plain_answer(gate, request, peers).await
+    };
+    let mut response = plain.response();
+    let close = !peers && if worker { crowd.workers_make_way() } else { crowd.users_make_way() };
+    if close {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn plain_answer(gate: &Gate, request: Request<Incoming>, peers: bool) -> Plain {
     let method = request.method().clone();
     let path = request.uri().path().to_string();
     if method == Method::GET && path == "/healthz" {
@@ -259,7 +331,7 @@
         return Plain::error(404, "no such path");
     };
     let (back, answer) = oneshot::channel();
-    if gate.asks.try_send(Ask::User(request, back)).is_err() {
+    if gate.users.try_send(UserAsk { request, back }).is_err() {
         return Plain::unavailable(2);
     }
     let answer = match timeout(ANSWER_LIMIT, answer).await {
@@ -290,7 +362,7 @@
     };
     let machine = report.machine.clone();
     let (back, answer) = oneshot::channel();
-    if gate.asks.send(Ask::Report { report, relayed: !relay, back }).await.is_err() {
+    if gate.workers.send(WorkerAsk { report, relayed: !relay, back }).await.is_err() {
         return Plain::unavailable(1);
     }
     match timeout(ANSWER_LIMIT, answer).await {
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -6,7 +6,7 @@
 use burlhatch::coordination::lives::{Live, Lives, Phase, Sums};
 use burlhatch::coordination::placement::{Candidate, choose};
 use burlhatch::protocol::state::Event;
-use burlhatch::protocol::user::JobSpec;
+use burlhatch::protocol::user::{JobSpec, Kind};
 use burlhatch::protocol::worker::Why;
 use burlhatch::transport::limits::{Bucket, Class};
 use burlhatch::units::{JobId, MachineId, Micros, Revision, Room};
@@ -201,10 +201,11 @@
 
 fn spec(job: u8) -> JobSpec {
     let text = format!(
-        r#"{{"lot": "c", "crew": "team-{}", "shape": "array", "rank": "standard", "pieces": 6, "cores": {}.5, "gpus": 0.0,
+        r#"{{"lot": "c", "crew": "team-{}", "shape": "{}", "rank": "standard", "pieces": 6, "cores": {}.5, "gpus": 0.0,
         "memory_gb": 2.0, "bundle": "i", "pull_gb": 0.1, "one_zone": false, "spread": false, "driftwood": false,
         "expect_s": 1.0, "stow_every_s": 0.0, "stow_s": 0.0}}"#,
         job % 2,
+        if job < 2 { "daemon" } else { "array" },
         job + 1
     );
     serde_json::from_str(&text).expect("a job")
@@ -254,6 +255,8 @@
                 prop_assert_eq!(sums.used_on(machine), room);
                 prop_assert_eq!(sums.is_empty(machine), there().count() == 0);
                 prop_assert_eq!(sums.is_busy(machine), there().any(|(_, at)| at.1.occupies()));
+                let serves = there().any(|((j, _), at)| at.1.occupies() && specs[*j].kind == Kind::Service);
+                prop_assert_eq!(sums.serves(machine), serves);
                 let starts: Vec<(JobId, u32)> = there().map(|((j, t), _)| (names[*j].clone(), *t)).collect();
                 prop_assert_eq!(sums.starts_on(machine), starts);
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -462,3 +462,32 @@
         finish(&mut world, &format!("large {seed}"));
     }
 }
+
+/// A controller that stands still while its clocks run on wakes to a queue of old news, calls that
+/// all look late and machines that all look silent, perhaps after its shares have gone to others.
+#[test]
+fn a_controller_that_stands_still_wakes_to_old_news() {
+    for (seed, span) in seeds(15, 4).zip([S, 5 * S, 30 * S, 60 * S].into_iter().cycle()) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        world.report_copies = 10;
+        ordinary_jobs(&mut world, 30);
+        world.run_for(20 * S);
+        let leader = world.holder("leader").expect("somebody leads");
+        let machines = world.booked_machines().len();
+        world.freeze(leader, span);
+        if seed % 2 == 1 {
+            // All on their own during an outage: no share changes hands, nobody answers its machines.
+            world.state_outage(span + 3 * S);
+        }
+        world.run_for(span + 4 * S);
+        let owner = world.holder("share/1").expect("owned");
+        world.freeze(owner, span);
+        world.run_for(span / 2);
+        world.freeze((owner + 1) % 3, span);
+        world.run_for(span + 6 * S);
+        assert_eq!(world.unowned_shares(), 0, "freeze {seed}");
+        // What fell silent by its own standstill must not be deleted.
+        assert!(world.booked_machines().len() * 2 > machines, "freeze {seed}: machines deleted");
+        finish(&mut world, &format!("freeze {seed}"));
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -149,6 +149,7 @@
     },
     Users,
     Restart(usize),
+    Thaw(usize, u64),
 }
 
 struct Node {
@@ -159,6 +160,10 @@
     next_waiter: u64,
     users: BTreeMap<u64, (u64, Asked)>,
     workers: BTreeMap<u64, (MachineId, u64)>,
+    /// It stands still until then while its clocks run on.
+    frozen_until: u64,
+    /// What reached it meanwhile.
+    backlog: Vec<Command>,
 }
 
 enum Asked {
@@ -262,6 +267,8 @@
                 next_waiter: 0,
                 users: BTreeMap::new(),
                 workers: BTreeMap::new(),
+                frozen_until: 0,
+                backlog: Vec::new(),
             };
             world.nodes.push(node);
             world.at(10 * MS * i as u64, Event::Restart(i));
@@ -300,9 +307,26 @@
             self.at(MS, Event::ReportAnswer { machine, serial, answer: None });
         }
         self.nodes[node].users.clear();
+        self.nodes[node].frozen_until = 0;
+        self.nodes[node].backlog.clear();
         self.at(back_after, Event::Restart(node));
     }
 
+    /// The controller stands still; what is sent to it waits in its sockets and comes all at once.
+    pub fn freeze(&mut self, node: usize, duration: u64) {
+        tracing::info!(at_ms = self.now / MS, node, duration, "trouble: freeze");
+        self.nodes[node].frozen_until = self.now + duration;
+        let life = self.nodes[node].life;
+        self.at(duration, Event::Thaw(node, life));
+    }
+
+    /// The controller that holds a seat: `leader`, or `share/` and a number.
+    pub fn holder(&self, seat: &str) -> Option<usize> {
+        let (value, ..) = self.state.keys.get(&format!("{ROOT}{seat}"))?;
+        let text = format!("{value:?}");
+        (0..self.size.nodes).find(|n| text.contains(&format!("node-{n}")))
+    }
+
     pub fn cut(&mut self, duration: u64, hold: bool, between: impl Fn(&Place, &Place) -> bool + 'static) {
         tracing::info!(at_ms = self.now / MS, duration, hold, "trouble: cut");
         let until = self.now + duration;
@@ -460,7 +484,14 @@
     fn feed(&mut self, node: usize, command: Command) {
         let clock = self.clock(node);
         let _at = tracing::debug_span!("at", ms = self.now / MS, node).entered();
+        let frozen = self.now < self.nodes[node].frozen_until;
         let Some(core) = self.nodes[node].core.as_mut() else { return };
+        if frozen {
+            if !matches!(command, Command::Tick) {
+                self.nodes[node].backlog.push(command);
+            }
+            return;
+        }
         core.handle(clock, command);
         let mut looks = 50;
         let effects = core.round(clock, &mut || {
@@ -714,6 +745,17 @@
                     self.at(50 * MS, Event::Tick(i, life));
                 }
             }
+            Event::Thaw(node, life) => {
+                if self.nodes[node].life == life && self.nodes[node].frozen_until <= self.now {
+                    // Timers may fire before or after the sockets are read.
+                    if self.chance(2) {
+                        self.feed(node, Command::Tick);
+                    }
+                    for command in std::mem::take(&mut self.nodes[node].backlog) {
+                        self.feed(node, command);
+                    }
+                }
+            }
             Event::Outcome { node, life, call, command } => {
                 if self.open_calls.remove(&call).is_some() && self.nodes[node].life == life {
                     self.feed(node, command);
