Fewer messages: bounded probes, batch orders in answers, shorter reports, fewer reads

System calls are one receive and one send a message, so it is the number that counts. A job with nothing to write but tasks done was taken for urgent and looked at in every round (native profile: a quarter of all work when it happened).

--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -260,9 +260,14 @@
             job.live.set_phase(task, Phase::Gone, &mut self.sums);
             job.dirty(now);
         }
+        let patient = job.over.is_none() && job.spec.kind == Kind::Array && job.spec.priority <= Priority::Normal;
         for machine in touched {
             self.machine_freed(&machine);
-            self.want_push(&machine);
+            if patient {
+                self.want_push_soon(&machine);
+            } else {
+                self.want_push(&machine);
+            }
         }
     }
 
@@ -614,7 +619,8 @@
         if job.live.occupying() == 0 && (job.over.is_some() || finished) || gang_rest {
             return Some(Need::Outcome);
         }
-        if job.live.proposed() > 0 || (job.live.settled() > 0 && (urgent || job.live.values().any(is_lost))) {
+        // Tasks done press in no job; taken for urgent they'd be looked at in vain in every round.
+        if job.live.proposed() > 0 || (job.live.settled() > 0 && job.live.values().any(is_lost)) {
             return Some(if urgent { Need::Urgent } else { Need::Batch });
         }
         (job.live.settled() > 0 || job.dirty_since == Some(Micros::ZERO)).then_some(Need::Progress)
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -116,6 +116,8 @@
     /// Its last report was not newer than the one before.
     ask: bool,
     push: bool,
+    /// Not before then: a report may come first, whose answer says it without a message of its own.
+    push_after: Micros,
     /// A direct command under this token got no answer and may be carried out at any time.
     doubt: Option<Term>,
     pub probes_failed: u32,
@@ -123,12 +125,14 @@
     /// alone does not undo them: it may come from a machine that can send but not hear.
     unanswered: u32,
     unanswered_since: Micros,
-    /// Last sign that something sent to it arrived.
+    /// When what was sent last that is known to have arrived.
     heard_us: Micros,
     /// The newest report: session, number, and whether it came straight from the worker.
     checkin: (u64, u64, bool),
     next_probe: Micros,
     strays: Vec<Stray>,
+    /// Of these exited ones that it may not forget yet.
+    kept: usize,
     /// Images seen to be there, most recently used last, with their sizes in MB.
     pub cache: Vec<(String, f64)>,
     pub fetches: Vec<Fetch>,
@@ -170,10 +174,12 @@
         self.probes_failed = 0;
     }
 
-    /// A sign that something sent to it arrived.
-    fn hears(&mut self, now: Micros) {
-        self.unanswered = 0;
-        self.heard_us = now;
+    /// A sign that what was sent to it at some time arrived.
+    fn hears(&mut self, sent: Micros) {
+        self.heard_us = self.heard_us.max(sent);
+        if sent >= self.unanswered_since {
+            self.unanswered = 0;
+        }
     }
 
     fn message_failed(&mut self, now: Micros) {
@@ -189,6 +195,7 @@
     fn new_owner(&mut self, now: Micros) {
         self.fenced = false;
         self.push = true;
+        self.push_after = Micros::ZERO;
         self.heard = now;
         self.answered = now;
         self.doubt = None;
@@ -238,10 +245,24 @@
     pub(super) fn want_push(&mut self, id: &MachineId) {
         if let Some(machine) = self.machines.get_mut(id) {
             machine.push = true;
+            machine.push_after = Micros::ZERO;
             self.pushes.insert(id.clone());
         }
     }
 
+    /// The machine is to be told something that can wait a moment for its next report: machines with
+    /// work report often, and each direct message costs as much as a report.
+    pub(super) fn want_push_soon(&mut self, id: &MachineId) {
+        let after = self.now() + Micros::from_millis(self.policy.batch_push_ms);
+        if let Some(machine) = self.machines.get_mut(id)
+            && !machine.push
+        {
+            machine.push = true;
+            machine.push_after = after;
+            self.pushes_later.insert((after, id.clone()));
+        }
+    }
+
     /// Notes since when nothing runs on it.
     pub(super) fn machine_freed(&mut self, id: &MachineId) {
         let now = self.now();
@@ -284,6 +305,7 @@
                     machine.fenced = fenced;
                     machine.push |= !fenced;
                     if machine.push {
+                        machine.push_after = Micros::ZERO;
                         self.pushes.insert(id.clone());
                     }
                 }
@@ -362,7 +384,7 @@
         }
         // A worker that did not hear our last answer would have gone to another controller first.
         if straight && !relayed && session == report.session && report.seq == seq + 1 {
-            machine.hears(now);
+            machine.hears(machine.answered);
         }
         machine.checkin = (report.session, report.seq, !relayed);
         self.take_report(&report, true);
@@ -376,6 +398,13 @@
         // Before the worker has shown our token its report proves nothing; the answer's token
         // makes it report again at once.
         let orders = if fenced { self.orders_for(&id, Some(report.seq)) } else { Vec::new() };
+        if let Some(machine) = self.machines.get_mut(&id)
+            && fenced
+            && orders.len() < ORDERS_MAX
+        {
+            // All is said.
+            machine.push = false;
+        }
         Some(WorkerAnswer::Orders(Orders { token, orders }))
     }
 
@@ -451,6 +480,7 @@
         let Some(machine) = self.machines.get_mut(id) else { return };
         let kept = strays.iter().filter(|s| s.exited && !s.forgettable()).count();
         machine.strays = strays;
+        machine.kept = kept;
         if kept > EXITED_KEPT && machine.doubt.is_none() {
             // A new term makes them forgettable.
             machine.doubt = Some(report.token);
@@ -618,8 +648,11 @@
     pub(super) fn push_orders(&mut self) {
         let now = self.now();
         let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 2.0);
+        while self.pushes_later.first().is_some_and(|(at, _)| *at <= now) {
+            self.pushes.extend(self.pushes_later.pop_first().map(|(_, id)| id));
+        }
         for id in std::mem::take(&mut self.pushes) {
-            let Some(machine) = self.machines.get(&id).filter(|m| m.push) else { continue };
+            let Some(machine) = self.machines.get(&id).filter(|m| m.push && m.push_after <= now) else { continue };
             if machine.direct || self.direct_open >= self.direct_most {
                 // Once the message on its way is answered, or there is room for one more.
                 self.pushes.insert(id);
@@ -938,10 +971,12 @@
         if mute.is_empty() {
             return;
         }
-        let (_, known) = self.deaf_of(ours);
+        // Some fall silent a little later than others: those on their way there count as well, and at
+        // least one other must have heard something.
+        let (deaf, known) = self.deaf_of(ours);
         let most = (known as f64 * self.policy.replace_max_part).max(1.0);
         let many = self.many_deaf.is_some_and(|at| now.since(at) < span);
-        if !many && mute.len() as f64 <= most && known > mute.len() {
+        if !many && deaf as f64 <= most && known > deaf {
             for id in &mute {
                 self.set_hold(id, Hold::Doomed);
             }
@@ -995,7 +1030,9 @@
                 doubtful.entry(share).or_default().push(id.clone());
             }
         }
-        let Some((share, ids)) = doubtful.into_iter().max_by_key(|(_, ids)| ids.len()) else { return };
+        let Some((share, ids)) = doubtful.into_iter().max_by_key(|(_, ids)| ids.len()) else {
+            return self.clear_exited(ours);
+        };
         // All controllers draw from one counter: at random times they rarely meet.
         let pause = self.rng.random_range(FENCE_EVERY.0 / 2..FENCE_EVERY.0 * 3 / 2);
         self.next_fence = now + Micros(pause);
@@ -1022,6 +1059,30 @@
         self.submit_txn(draft, Purpose::Machines(ids));
     }
 
+    /// Workers name exited tasks in every message until they may forget them, which takes a new term. Where
+    /// that makes up most of the messages, reading them costs more than the term.
+    fn clear_exited(&mut self, ours: &[MachineId]) {
+        let mut kept: BTreeMap<u32, (usize, usize)> = BTreeMap::new();
+        for machine in ours.iter().filter_map(|id| self.machines.get(id)) {
+            if let Some(share) = machine.share {
+                let sums = kept.entry(share).or_default();
+                *sums = (sums.0 + machine.kept, sums.1 + 1);
+            }
+        }
+        let mean = |(exited, machines): (usize, usize)| exited as f64 / machines.max(1) as f64;
+        let worst = kept.into_iter().max_by(|a, b| mean(a.1).total_cmp(&mean(b.1)));
+        if let Some((share, sums)) = worst.filter(|(_, sums)| mean(*sums) > self.policy.exited_mean) {
+            tracing::debug!(
+                share,
+                exited = sums.0,
+                machines = sums.1,
+                "a new term, so that exited tasks are forgotten"
+            );
+            self.next_fence = self.now() + Micros::from_millis(self.policy.exited_every_ms);
+            self.renew_share(share, Term(self.replica.term_now().0 + 1));
+        }
+    }
+
     /// The share has a new term under the same owner: what is known stays, but from here on only
     /// messages that carry the term prove anything.
     pub(super) fn share_renewed(&mut self, share: u32) {
@@ -1032,6 +1093,7 @@
             if let Some(machine) = self.machines.get_mut(&id) {
                 machine.fenced = token.is_some_and(|t| machine.token_seen >= t);
                 machine.push |= !machine.fenced;
+                machine.push_after = Micros::ZERO;
                 self.pushes.insert(id);
             }
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -254,6 +254,8 @@
     machines: BTreeMap<MachineId, machines::Machine>,
     /// Machines that are to be told something before they report.
     pushes: BTreeSet<MachineId>,
+    /// The same for what can wait until then.
+    pushes_later: BTreeSet<(Micros, MachineId)>,
     /// Direct messages on their way, and how many there may be: each takes a socket.
     direct_open: usize,
     direct_most: usize,
@@ -316,6 +318,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             pushes: BTreeSet::new(),
+            pushes_later: BTreeSet::new(),
             direct_open: 0,
             direct_most,
             probes_left: 0.0,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -320,7 +320,7 @@
     /// Silence of a machine with services after which it is probed between its reports.
     probe_after_ms: u64 = 1500, 100, 600000;
     /// Such probes a controller sends in a second at most.
-    probes_per_s: f64 = 60.0, 0.0, 10000.0;
+    probes_per_s: f64 = 25.0, 0.0, 10000.0;
     /// Any other machine is probed once it has been silent for this many times the time between reports.
     report_late_part: f64 = 1.6, 1.0, 100.0;
     /// Pause between probes of a silent machine, and how long one may take.
@@ -344,6 +344,11 @@
     state_patience_ms: u64 = 2500, 500, 60000;
     /// Failed tasks of different jobs, without a success between, that make a machine suspect.
     faulty_after: u32 = 2, 1, 1000;
+    /// A share gets a new term when its machines name so many exited tasks each in the mean, which lets them
+    /// forget these.
+    exited_mean: f64 = 6.0, 1.0, 1000.0;
+    /// After that none of its shares gets one for this long, for whatever reason.
+    exited_every_ms: u64 = 2000, 0, 600000;
     /// Longest pause before a task that failed is tried again.
     retry_max_ms: u64 = 20000, 100, 600000;
     /// Room kept free in each share for this many tasks of its largest services.
@@ -373,6 +378,8 @@
     idle_part: f64 = 0.2, 0.01, 0.4;
     /// Part of the sockets for direct messages to machines that are on their way; others wait.
     direct_part: f64 = 0.1, 0.01, 0.4;
+    /// So long what a machine is to be told about batch work waits for its next report.
+    batch_push_ms: u64 = 1000, 0, 60000;
     /// Grace for a task that can save.
     stop_grace_s: f64 = 30.0, 0.0, 600.0;
 }
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -21,7 +21,7 @@
 const USER_ASKS: usize = 512;
 /// Reports that may queue for the core; more wait in their sockets.
 const WORKER_ASKS: usize = 256;
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// Connections from siblings.
 const SIBLINGS_MOST: usize = 64;
 
