Judge cuts by who was really heard; mute means reports go on; a world of a thousand machines

Cause, from the new world test (1,000 machines, four zones, a zone cut off with a controller, then the leader standing still): a controller that took a share deleted 77 machines of the cut-off zone. Machines of a share just taken counted as heard at that moment, which made the silent ones few; and machines silent with all of their zone were replaced as mute, though mute is one whose reports arrive. Both mended; the test fails without either.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -59,9 +59,11 @@
     fn of<'a>(machines: impl Iterator<Item = &'a Machine>) -> Contacts {
         let (mut failing, mut all) = (Vec::new(), Vec::new());
         for machine in machines {
-            all.push(machine.heard);
+            // Those of a share just taken were not heard yet, though their silence counts from then.
+            let heard = if machine.fenced { machine.heard } else { Micros::ZERO };
+            all.push(heard);
             if machine.probes_failed > 0 {
-                failing.push(machine.heard);
+                failing.push(heard);
             }
         }
         failing.sort_unstable();
@@ -127,6 +129,8 @@
     unanswered_since: Micros,
     /// When what was sent last that is known to have arrived.
     heard_us: Micros,
+    /// When its newest report came.
+    reported: Micros,
     /// The newest report: session, number, and whether it came straight from the worker.
     checkin: (u64, u64, bool),
     next_probe: Micros,
@@ -162,9 +166,11 @@
         self.doubt.is_none() && self.probes_failed == 0 && self.unanswered < 2
     }
 
-    /// Whether it seems to hear nothing that it is sent, though its reports arrive.
+    /// Whether it seems to hear nothing that it is sent, though its reports arrive. One whose reports stay
+    /// away as well is silent, which is judged otherwise.
     pub fn is_mute(&self, now: Micros, probes: u32, span: Micros) -> bool {
-        self.unanswered >= probes && now.since(self.unanswered_since) >= span
+        let reports = self.reported > self.unanswered_since;
+        reports && self.unanswered >= probes && now.since(self.unanswered_since) >= span
     }
 
     /// We stood still for so long: that it was not heard meanwhile says nothing.
@@ -387,6 +393,7 @@
             machine.hears(machine.answered);
         }
         machine.checkin = (report.session, report.seq, !relayed);
+        machine.reported = now;
         self.take_report(&report, true);
         let fenced = match self.machines.get_mut(&id) {
             Some(machine) => {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,8 @@
 use burlhatch::protocol::user::{JobState, Kind, Priority};
 use burlhatch::settings::Policy;
 use burlhatch::units::MachineId;
-use world::{LARGE, MS, Place, S, SMALL, Size, World};
+use std::collections::BTreeSet;
+use world::{FLEET, LARGE, MS, Place, S, SMALL, Size, World};
 
 /// A mix of all shapes; services are cancelled in the end, some arrays too.
 fn ordinary_jobs(world: &mut World, count: u64) {
@@ -491,3 +492,49 @@
         finish(&mut world, &format!("freeze {seed}"));
     }
 }
+
+/// A thousand machines in four zones: a zone cut off with a controller while the leader stands still,
+/// then an outage, an end of all controllers, and a third of the machines dead or hung at once.
+#[test]
+fn a_fleet_with_troubles_in_mass() {
+    let mut world = World::sized(16_000, keeping_idle_machines(), FLEET);
+    ordinary_jobs(&mut world, 150);
+    for n in 0..6 {
+        let mut spec = World::spec(if n < 3 { Kind::Service } else { Kind::Array }, "green", 16, 1.0);
+        if n < 3 {
+            spec.spread = true;
+        } else {
+            spec.tasks = 400;
+        }
+        let id = world.submit(1000 + n, spec);
+        if n < 3 {
+            world.jobs.get_mut(&id).expect("submitted").cancel_at = Some(55 * S);
+        }
+    }
+    world.run_for(14 * S);
+    let inside: BTreeSet<MachineId> =
+        world.workers.iter().filter(|(_, w)| w.zone == "d").map(|(id, _)| id.clone()).collect();
+    let zone = inside.clone();
+    let is_in = move |place: &Place| match place {
+        Place::Node(node) => *node == 3,
+        Place::Worker(id) => zone.contains(id),
+        _ => false,
+    };
+    world.cut(16 * S, true, move |a, b| is_in(a) != is_in(b));
+    world.run_for(4 * S);
+    let leader = world.holder("leader").expect("somebody leads");
+    world.freeze(leader, 5 * S);
+    world.run_for(13 * S);
+    let left = inside.iter().filter(|id| world.workers.contains_key(id)).count();
+    assert!(left * 10 >= inside.len() * 9, "{left} of {} left: a zone cut off was deleted", inside.len());
+    world.state_outage(5 * S);
+    for node in 0..5 {
+        world.crash(node, 200 * MS + node as u64 * 300 * MS);
+    }
+    world.run_for(3 * S);
+    for nth in 0..180 {
+        world.kill_machine(nth * 5);
+        world.hang(nth * 4 + 1, 12 * S);
+    }
+    finish(&mut world, "fleet");
+}
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -67,6 +67,7 @@
     pub(super) fn cloud_request(&mut self, request: CloudCall) -> CloudOutcome {
         match request {
             CloudCall::Types => {
+                let zones: Vec<String> = self.size.zones.iter().map(|z| z.to_string()).collect();
                 let kind = |name: &str, cpus: f64, price: f64| MachineType {
                     name: name.into(),
                     cpus,
@@ -77,7 +78,7 @@
                     price,
                     spot_price: Some(price / 3.0),
                     boot_s: 10.0,
-                    zones: vec!["a".into(), "b".into()],
+                    zones: zones.clone(),
                 };
                 CloudOutcome::Types(MachineTypes { types: vec![kind("small", 4.0, 0.2), kind("large", 8.0, 0.4)] })
             }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -40,20 +40,23 @@
     pub capacity: usize,
     /// Changes the state service takes in a second.
     pub write_rps: f64,
+    pub zones: &'static [&'static str],
 }
 
-pub const SMALL: Size = Size { nodes: 3, machines: 5, capacity: 14, write_rps: 50.0 };
-pub const LARGE: Size = Size { nodes: 5, machines: 200, capacity: 260, write_rps: 30.0 };
+pub const SMALL: Size = Size { nodes: 3, machines: 5, capacity: 14, write_rps: 50.0, zones: &["a", "b"] };
+pub const LARGE: Size = Size { nodes: 5, machines: 200, capacity: 260, write_rps: 30.0, zones: &["a", "b"] };
+pub const FLEET: Size =
+    Size { nodes: 5, machines: 1000, capacity: 1300, write_rps: 35.0, zones: &["a", "b", "c", "d"] };
 
 fn settings(node: usize, size: Size) -> String {
-    let Size { nodes, write_rps, .. } = size;
+    let Size { nodes, write_rps, zones, .. } = size;
     let mut text =
         format!("label = \"node-{node}\"\npublic_addr = \"10.0.0.{0}:8080\"\nback = \"10.0.0.{0}:8081\"\n", node + 1);
     for other in (0..nodes).filter(|n| *n != node) {
         text += &format!("[[siblings]]\nlabel = \"node-{other}\"\naddress = \"10.0.0.{}:8081\"\n", other + 1);
     }
     text += &format!(
-        "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[deployment]\nnodes = {nodes}\nzones = [\"a\", \"b\"]\n"
+        "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[deployment]\nnodes = {nodes}\nzones = {zones:?}\n"
     );
     for (team, cpus, most) in [("red", 4.0, 12.0), ("blue", 4.0, 10.0), ("green", 8.0, 0.0)] {
         text += &format!("[[deployment.teams]]\nname = \"{team}\"\ncpus = {cpus}\ncpus_max = {most}\n");
@@ -274,8 +277,7 @@
             world.at(10 * MS * i as u64, Event::Restart(i));
         }
         for i in 0..size.machines {
-            let zone = if i % 2 == 0 { "a" } else { "b" };
-            world.boot("small", zone, false, 0);
+            world.boot("small", size.zones[i % size.zones.len()], false, 0);
         }
         world.at(0, Event::Users);
         world
@@ -812,7 +814,7 @@
         self.state.expire(now);
         if let StateCall::Changes { kind, after, wait_ms } = &request
             && *wait_ms > 0
-            && self.state.changes(*after).events.is_empty()
+            && !self.state.has_changed(*after)
         {
             self.state.watches.insert(call, state::Watch { node, life, kind: *kind, after: *after });
             return self.at(wait_ms * MS, Event::WatchEnds { call });
@@ -827,7 +829,7 @@
             .state
             .watches
             .iter()
-            .filter(|(_, w)| !self.state.changes(w.after).events.is_empty())
+            .filter(|(_, w)| self.state.has_changed(w.after))
             .map(|(call, _)| *call)
             .collect();
         for call in due {
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -78,6 +78,10 @@
         }
     }
 
+    pub fn has_changed(&self, after: u64) -> bool {
+        self.log.last().is_some_and(|(revision, ..)| *revision > after)
+    }
+
     pub fn changes(&self, after: u64) -> Changes {
         let from = self.log.partition_point(|(revision, ..)| *revision <= after);
         let events = self.log[from..]
