--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -18,8 +18,9 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
-use tokio::net::TcpListener;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 
 #[derive(Default)]
 struct Store {
@@ -200,20 +201,96 @@
     listener.local_addr().expect("its address")
 }
 
+/// Settings of a single controller whose services all answer at one address.
+fn settings(public: SocketAddr, back: SocketAddr, services: SocketAddr, sockets: usize) -> Platform {
+    let text = format!(
+        "label = \"solo\"\npublic_addr = \"{public}\"\nback = \"{back}\"\n[external]\ncloud = \"{services}\"\n\
+         state = \"{services}\"\n[deployment]\nnodes = 1\n[deployment.workers]\nreport_s = 3.0\nlease_s = 20.0\n\
+         gang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = 40.0\n[deployment.state]\nrps = 500.0\nwrite_rps = 200.0\n\
+         value_kb = 4.0\ntxn_ops = 12\n[deployment.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[deployment.quota]\nfd_limit = {sockets}\n"
+    );
+    Platform::parse(&text).expect("valid settings")
+}
+
+async fn becomes_healthy(client: &Client, public: SocketAddr) -> bool {
+    for _ in 0..100 {
+        let answer = call(client, public, Method::GET, "/healthz", &Value::Null).await;
+        if answer.is_ok_and(|a| a.status == 200) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
+
+/// With nearly all its connections taken by others, a controller still answers the health check and
+/// reports, and refuses users at once; what is beyond the limit is closed and doesn't wait.
+#[tokio::test]
+async fn when_crowded_the_health_check_gets_through_and_users_are_refused_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let services = listener.local_addr().expect("its address");
+    tokio::spawn(serve(listener, Arc::default()));
+    let (public, back) = (free_port(), free_port());
+    // Of 80 sockets 16 are for idle calls, 8 for direct messages, twice 10 for siblings: 36 are left.
+    tokio::spawn(daemon::run(settings(public, back, services, 80), Policy::default()));
+    let client = Client::default();
+    assert!(becomes_healthy(&client, public).await);
+    let mut held = Vec::new();
+    for _ in 0..33 {
+        held.push(TcpStream::connect(public).await.expect("room"));
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let began = Instant::now();
+    let health = call(&client, public, Method::GET, "/healthz", &Value::Null).await.expect("an answer");
+    assert_eq!(health.status, 200);
+    let user = call(&client, public, Method::GET, "/api/jobs/wk-000001", &Value::Null).await.expect("an answer");
+    assert_eq!((user.status, user.retry_after_s), (503, Some(1)));
+    let report = json!({"host": "m-000009", "addr": "127.0.0.1:1", "hull": "s", "berth": "a", "driftwood": false,
+        "watch": 1, "tally": 1, "helm": 0, "warning_s": null, "pieces": []});
+    let worker = call(&client, public, Method::POST, "/checkin", &report).await.expect("an answer");
+    assert!(matches!(worker.status, 200 | 421 | 503), "{}", worker.status);
+    for _ in 0..10 {
+        held.push(TcpStream::connect(public).await.expect("accepted or queued"));
+    }
+    let last = held.last_mut().expect("a connection");
+    let mut byte = [0u8; 1];
+    let read = tokio::time::timeout(Duration::from_secs(2), last.read(&mut byte)).await.expect("closed at once");
+    assert!(read.is_err() || read.is_ok_and(|n| n == 0));
+    assert!(began.elapsed() < Duration::from_secs(4));
+    drop(held);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let user = call(&client, public, Method::GET, "/api/jobs/wk-000001", &Value::Null).await.expect("an answer");
+    assert_eq!(user.status, 404);
+}
+
+/// However many machines are called, no more idle connections are kept than were allowed, and the ones
+/// used last stay.
+#[tokio::test]
+async fn idle_connections_keep_within_their_bound() {
+    let client = Client::keeping(4);
+    let mut addresses = Vec::new();
+    for _ in 0..10 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        addresses.push(listener.local_addr().expect("its address"));
+        tokio::spawn(serve(listener, Arc::default()));
+    }
+    for _ in 0..3 {
+        for addr in &addresses {
+            let answer = call(&client, *addr, Method::GET, "/rentals", &Value::Null).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+            assert!(client.idle() <= 4, "{} idle", client.idle());
+        }
+    }
+    assert_eq!(client.idle(), 4);
+}
+
 #[tokio::test]
 async fn a_job_is_taken_run_and_remembered_over_real_sockets() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let services = listener.local_addr().expect("its address");
     tokio::spawn(serve(listener, Arc::default()));
     let (public, back) = (free_port(), free_port());
-    let settings = format!(
-        "label = \"solo\"\npublic_addr = \"{public}\"\nback = \"{back}\"\n[external]\ncloud = \"{services}\"\n\
-         state = \"{services}\"\n[deployment]\nnodes = 1\n[deployment.workers]\nreport_s = 3.0\nlease_s = 20.0\n\
-         gang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = 40.0\n[deployment.state]\nrps = 500.0\nwrite_rps = 200.0\n\
-         value_kb = 4.0\ntxn_ops = 12\n[deployment.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[deployment.quota]\nfd_limit = 500\n"
-    );
-    let platform = Platform::parse(&settings).expect("valid settings");
-    tokio::spawn(daemon::run(platform, Policy::default()));
+    tokio::spawn(daemon::run(settings(public, back, services, 500), Policy::default()));
     let client = Client::default();
     tokio::spawn(worker(client.clone(), public));
     let ask = |method: Method, path: &'static str, body: Value| {
@@ -223,15 +300,7 @@
             answer.map_or((0, Value::Null), |a| (a.status, decode::<Value>(&a.body).unwrap_or(Value::Null)))
         }
     };
-    let mut healthy = false;
-    for _ in 0..100 {
-        healthy = ask(Method::GET, "/healthz", Value::Null).await.0 == 200;
-        if healthy {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    assert!(healthy);
+    assert!(becomes_healthy(&client, public).await);
     let job = json!({"id": "wk-000001", "lot": "c", "shape": "array", "rank": "standard", "pieces": 3, "cores": 1.0,
         "gpus": 0.0, "memory_gb": 1.0, "bundle": "i", "pull_gb": 0.1, "one_zone": false, "spread": false,
         "driftwood": false, "expect_s": 1.0, "stow_every_s": 0.0, "stow_s": 0.0});
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -825,13 +825,8 @@
     }
 
     fn wake_watches(&mut self) {
-        let due: Vec<u64> = self
-            .state
-            .watches
-            .iter()
-            .filter(|(_, w)| self.state.has_changed(w.after))
-            .map(|(call, _)| *call)
-            .collect();
+        let due: Vec<u64> =
+            self.state.watches.iter().filter(|(_, w)| self.state.has_changed(w.after)).map(|(call, _)| *call).collect();
         for call in due {
             if let Some(watch) = self.state.watches.remove(&call) {
                 let changes = self.state.changes(watch.after);
