--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -25,6 +25,9 @@
 /// With fewer silent machines in a zone nothing is concluded about the zone.
 const ZONE_LOST_LEAST: usize = 3;
 
+/// Machines of a zone that are asked each time machines are looked over, while one of it fails to answer.
+const WIDENED: usize = 3;
+
 /// How often all machines are looked over.
 const MACHINES_EVERY: Micros = Micros::from_millis(100);
 
@@ -826,16 +829,39 @@
         let early = Micros::from_millis(self.policy.probe_after_ms);
         let late = Micros::from_secs_f64(self.platform.deployment.workers.report_s * self.policy.report_late_part);
         let mut due: Vec<(bool, Micros, &MachineId)> = Vec::new();
+        let mut quiet: BTreeMap<&str, Vec<(Micros, &MachineId)>> = BTreeMap::new();
+        let mut doubted: BTreeSet<&str> = BTreeSet::new();
         for id in ours {
-            let Some(machine) = self.machines.get(id) else { continue };
+            let (Some(machine), Some(record)) = (self.machines.get(id), self.replica.machines.get(id)) else {
+                continue;
+            };
+            let zone = record.value.zone.as_str();
+            if machine.unanswered > 0 {
+                doubted.insert(zone);
+            }
             let silence = now.since(machine.heard);
             // Also one that reports but did not answer the last message.
             let suspect = machine.unanswered > 0 || machine.ask || silence >= late.max(early);
-            let wanted = suspect || (silence >= early && self.sums.serves(id));
-            if wanted && !machine.direct && now >= machine.next_probe {
+            if machine.direct || now < machine.next_probe || !(suspect || silence >= early) {
+                continue;
+            }
+            if suspect || self.sums.serves(id) {
                 due.push((!suspect, machine.heard, id));
+            } else {
+                quiet.entry(zone).or_default().push((machine.heard, id));
             }
         }
+        // Where one fails to answer, a few others of its zone are asked at once, whatever they run: whether
+        // one machine is lost or all are cut off must show before anything is decided.
+        for zone in doubted {
+            let mut others = quiet.remove(zone).unwrap_or_default();
+            others.sort_unstable();
+            due.extend(others.into_iter().take(WIDENED).map(|(heard, id)| (false, heard, id)));
+            let routine = due.iter_mut().filter(|(routine, _, id)| {
+                *routine && self.replica.machines.get(*id).is_some_and(|m| m.value.zone == zone)
+            });
+            routine.take(WIDENED).for_each(|(routine, ..)| *routine = false);
+        }
         due.sort_unstable();
         let rate = self.policy.probes_per_s;
         self.probes_left = (self.probes_left + now.since(self.probed_at).secs() * rate).min(rate.max(1.0));
@@ -919,6 +945,8 @@
         let others = Contacts::of(ours.iter().filter_map(|id| self.machines.get(id)));
         let mut zones: BTreeMap<&str, Contacts> = BTreeMap::new();
         let mut lost_for_good = Vec::new();
+        let mut cut: BTreeSet<String> = BTreeSet::new();
+        let mut many_silent = false;
         for id in silent {
             let Some(last) = self.machines.get(&id).map(|m| m.heard) else { continue };
             let Some(zone) = self.replica.machines.get(&id).map(|m| m.value.zone.as_str()) else { continue };
@@ -932,14 +960,26 @@
             let (lost, all) = (lost.saturating_sub(1), (lost + heard).saturating_sub(1));
             // With hardly any other to compare with, more patience.
             let alone = all < 2 && now.since(last) < Micros(after.0 * 3);
-            let many = lost as f64 > all as f64 * self.policy.replace_max_part;
+            // In a small share one other may well be lost too, but if none at all was heard the fault is ours.
+            let many = lost as f64 > (all as f64 * self.policy.replace_max_part).max(1.0) || (all >= 2 && heard == 0);
             // Most of its zone and hardly anything else: the zone is cut off, its machines work on.
             let zone_lost = lost_there >= ZONE_LOST_LEAST
                 && lost_there as f64 > (lost_there + heard_there) as f64 * self.policy.zone_max_part;
-            if !alone && !many && !zone_lost {
+            // When a cut ends, its machines are heard again one by one, and the last need a while.
+            let zone_was_lost = self.zones_cut.get(zone).is_some_and(|at| now.since(*at) < after);
+            if many {
+                many_silent = true;
+            } else if zone_lost {
+                cut.insert(zone.to_string());
+            } else if !alone && !zone_was_lost {
                 lost_for_good.push(id);
             }
         }
+        self.zones_cut.extend(cut.into_iter().map(|zone| (zone, now)));
+        if many_silent {
+            self.many_deaf = Some(now);
+            return;
+        }
         for id in lost_for_good {
             self.set_hold(&id, Hold::Doomed);
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -268,6 +268,8 @@
     next_fence: Micros,
     /// When more machines than could well be lost together last failed to answer.
     many_deaf: Option<Micros>,
+    /// When most of a zone's machines were last silent together.
+    zones_cut: BTreeMap<String, Micros>,
     /// Reports of machines that are just being taken into the books.
     unbooked: Vec<Unbooked>,
     types: BTreeMap<String, TypeInfo>,
@@ -327,6 +329,7 @@
             next_machines: Micros::ZERO,
             next_fence: Micros::ZERO,
             many_deaf: None,
+            zones_cut: BTreeMap::new(),
             unbooked: Vec::new(),
             types: BTreeMap::new(),
             types_asked: Micros::ZERO,
--- a/src/coordination/reads.rs
+++ b/src/coordination/reads.rs
@@ -30,8 +30,8 @@
 
 /// Parts of the state service's request limit that all controllers' watches and fresh reads together
 /// may take: what is left is for renewals and transactions.
-const WATCH_PART: f64 = 0.25;
-const FRESH_PART: f64 = 0.12;
+const WATCH_PART: f64 = 0.35;
+const FRESH_PART: f64 = 0.08;
 
 const PAUSE_AFTER_FAILURE: Micros = Micros::from_millis(300);
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -320,7 +320,7 @@
     /// Silence of a machine with services after which it is probed between its reports.
     probe_after_ms: u64 = 1500, 100, 600000;
     /// Such probes a controller sends in a second at most.
-    probes_per_s: f64 = 25.0, 0.0, 10000.0;
+    probes_per_s: f64 = 10.0, 0.0, 10000.0;
     /// Any other machine is probed once it has been silent for this many times the time between reports.
     report_late_part: f64 = 1.6, 1.0, 100.0;
     /// Pause between probes of a silent machine, and how long one may take.
