One way to write down a seat's holder; one start of a controller in the loopback tests

Taking a seat and giving a share a new term wrote the same transaction twice, and two tests set up the same controller. No change of behaviour; the tests keep their assertions.

--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -198,15 +198,15 @@
                 self.seats.free_since.remove(&seat);
             }
             if take {
-                self.take_seat(seat, lease);
+                self.take_seat(seat, lease, Term(self.replica.term_now().0 + 1));
                 return;
             }
         }
         self.hand_back();
     }
 
-    fn take_seat(&mut self, seat: Seat, lease: u64) {
-        let term = Term(self.replica.term_now().0 + 1);
+    /// Writes us down as a seat's holder under a new term.
+    fn take_seat(&mut self, seat: Seat, lease: u64, term: Term) {
         let record = SeatRecord { owner: self.label.clone(), incarnation: self.incarnation, term };
         let mut txn = Draft::default();
         txn.unchanged(&self.replica, Key::Seat(seat));
@@ -221,17 +221,9 @@
     pub(super) fn renew_share(&mut self, share: u32, term: Term) {
         let seat = Seat::Share(share);
         let Some(lease) = self.session.lease else { return };
-        if self.seats.taking || self.held(seat).is_none() {
-            return;
+        if !self.seats.taking && self.held(seat).is_some() {
+            self.take_seat(seat, lease, term);
         }
-        let record = SeatRecord { owner: self.label.clone(), incarnation: self.incarnation, term };
-        let mut txn = Draft::default();
-        txn.unchanged(&self.replica, Key::Seat(seat));
-        txn.unchanged(&self.replica, Key::Term);
-        txn.put_bound(Key::Seat(seat), to_value(&record), lease);
-        txn.put(Key::Term, to_value(&term));
-        self.seats.taking = true;
-        self.submit_txn(txn, Purpose::Seat);
     }
 
     fn note_siblings(&mut self) {
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -212,6 +212,16 @@
     Platform::parse(&text).expect("valid settings")
 }
 
+/// Starts a controller with so many sockets, and stand-ins for its services; where users reach it.
+async fn controller(sockets: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let services = listener.local_addr().expect("its address");
+    tokio::spawn(serve(listener, Arc::default()));
+    let (public, back) = (free_port(), free_port());
+    tokio::spawn(daemon::run(settings(public, back, services, sockets), Policy::default()));
+    public
+}
+
 async fn becomes_healthy(client: &Client, public: SocketAddr) -> bool {
     for _ in 0..100 {
         let answer = call(client, public, Method::GET, "/healthz", &Value::Null).await;
@@ -227,12 +237,8 @@
 /// reports, and refuses users at once; what is beyond the limit is closed and doesn't wait.
 #[tokio::test]
 async fn when_crowded_the_health_check_gets_through_and_users_are_refused_at_once() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let services = listener.local_addr().expect("its address");
-    tokio::spawn(serve(listener, Arc::default()));
-    let (public, back) = (free_port(), free_port());
     // Of 80 sockets 16 are for idle calls, 8 for direct messages, twice 10 for siblings: 36 are left.
-    tokio::spawn(daemon::run(settings(public, back, services, 80), Policy::default()));
+    let public = controller(80).await;
     let client = Client::default();
     assert!(becomes_healthy(&client, public).await);
     let mut held = Vec::new();
@@ -286,11 +292,7 @@
 
 #[tokio::test]
 async fn a_job_is_taken_run_and_remembered_over_real_sockets() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let services = listener.local_addr().expect("its address");
-    tokio::spawn(serve(listener, Arc::default()));
-    let (public, back) = (free_port(), free_port());
-    tokio::spawn(daemon::run(settings(public, back, services, 500), Policy::default()));
+    let public = controller(500).await;
     let client = Client::default();
     tokio::spawn(worker(client.clone(), public));
     let ask = |method: Method, path: &'static str, body: Value| {
