Tell a cancellation only once the tasks' owner knows; delete machines where its time runs out

Now a controller tells a user so only once the books hold no start, or it holds the share itself as of the cancellation, or the holder says over the peer link that it knows. The holder counts that as if the watch had brought it and stops the tasks on its own term. The time of the cancellation is in the books; when it nears cancel_s the share's holder has the machines that may still run something deleted itself, which needs no state service.

--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -2,7 +2,7 @@
 //! commits possibly ahead of that. Per key, the higher version wins.
 
 use super::schema::{
-    BatchMember, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Outcome, RunChunk, Seat, SeatRecord,
+    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, RunChunk, Seat, SeatRecord,
     from_value,
 };
 use crate::protocol::state::Event;
@@ -52,7 +52,7 @@
     pub jobs: HashMap<JobId, KnownJob>,
     pub batches: BTreeMap<String, Versioned<Vec<JobId>>>,
     pub runs: HashMap<JobId, BTreeMap<u32, Versioned<RunChunk>>>,
-    pub ends: HashMap<JobId, Versioned<Outcome>>,
+    pub ends: HashMap<JobId, Versioned<EndRecord>>,
     /// Own deletions ahead of `applied`, so that older puts don't bring the keys back.
     removed: HashMap<Key, u64>,
 }
@@ -176,8 +176,8 @@
             }
             Key::End(id) => {
                 // An outcome is written once and never removed.
-                if let Some(outcome) = value.and_then(from_value) {
-                    self.ends.insert(id.clone(), Versioned { value: outcome, version });
+                if let Some(end) = value.and_then(from_value) {
+                    self.ends.insert(id.clone(), Versioned { value: end, version });
                 }
                 Change::End(id)
             }
@@ -239,6 +239,11 @@
         changes
     }
 
+    /// Whether the books name any start of a job: as long as they do, something of it may run.
+    pub fn has_starts(&self, id: &JobId) -> bool {
+        self.runs.get(id).is_some_and(|chunks| chunks.values().any(|c| !c.value.starts.is_empty()))
+    }
+
     pub fn term_now(&self) -> Term {
         self.term.as_ref().map(|t| t.value).unwrap_or_default()
     }
--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -217,6 +217,57 @@
     Cancelled,
 }
 
+/// What became of a job, as its key holds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredEnd", into = "StoredEnd")]
+pub struct EndRecord {
+    pub outcome: Outcome,
+    /// Time of day before which no user was told: whatever has to be over by some time after that can be
+    /// counted from it, also by a controller that only reads it later.
+    pub at: Micros,
+}
+
+impl EndRecord {
+    pub fn done() -> EndRecord {
+        EndRecord { outcome: Outcome::Done, at: Micros::ZERO }
+    }
+
+    pub fn cancelled(at: Micros) -> EndRecord {
+        EndRecord { outcome: Outcome::Cancelled, at }
+    }
+}
+
+/// Where no time matters the bare outcome is stored.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum StoredEnd {
+    Bare(Outcome),
+    At {
+        #[serde(rename = "o")]
+        outcome: Outcome,
+        #[serde(rename = "at")]
+        at: Micros,
+    },
+}
+
+impl From<StoredEnd> for EndRecord {
+    fn from(stored: StoredEnd) -> EndRecord {
+        match stored {
+            StoredEnd::Bare(outcome) => EndRecord { outcome, at: Micros::ZERO },
+            StoredEnd::At { outcome, at } => EndRecord { outcome, at },
+        }
+    }
+}
+
+impl From<EndRecord> for StoredEnd {
+    fn from(end: EndRecord) -> StoredEnd {
+        match end.at {
+            Micros::ZERO => StoredEnd::Bare(end.outcome),
+            at => StoredEnd::At { outcome: end.outcome, at },
+        }
+    }
+}
+
 pub fn to_value<T: Serialize>(value: &T) -> Value {
     // Our records hold text keys and plain numbers only, which always convert.
     Value::serialized(value).unwrap_or(Value::Null)
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -3,7 +3,7 @@
 use super::Core;
 use super::lives::{Live, Lives, Phase};
 use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
-use crate::bookkeeping::schema::{JobRecord, Key, Outcome, RunChunk, Seat, StartRecord, to_value};
+use crate::bookkeeping::schema::{EndRecord, JobRecord, Key, Outcome, RunChunk, Seat, StartRecord, to_value};
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::protocol::worker::Why;
 use crate::settings::Policy;
@@ -102,7 +102,7 @@
     /// Share that looks after a job; the same on every controller. A team's jobs stay together, so
     /// that its limit and guarantee can be kept; one that has neither is parted by job where most shares
     /// would stand idle otherwise.
-    fn share_of(&self, team: Option<&str>, id: &JobId) -> u32 {
+    pub(super) fn share_of(&self, team: Option<&str>, id: &JobId) -> u32 {
         let shares = self.shares();
         let teams = &self.platform.deployment.teams;
         let parts = self.platform.deployment.parts_by_job();
@@ -141,7 +141,7 @@
 
     /// Whether there is such a job; notes what became of it.
     fn job_known(&mut self, id: &JobId) -> bool {
-        let over = self.replica.ends.get(id).map(|e| e.value);
+        let over = self.replica.ends.get(id).map(|e| e.value.outcome);
         if !self.jobs.contains_key(id) {
             // Over with nothing left of it: its batch alone still names it.
             if over.is_some() && !self.replica.runs.contains_key(id) {
@@ -169,6 +169,7 @@
             for machine in machines {
                 self.want_push(&machine);
             }
+            self.note_deadline(id);
         }
         true
     }
@@ -364,6 +365,7 @@
         self.sums.touched.extend(ids.iter().cloned());
         for id in ids {
             self.job_changed(&id);
+            self.note_deadline(&id);
         }
     }
 
@@ -563,7 +565,7 @@
             draft.unchanged(&self.replica, end.clone());
         }
         if finishes {
-            draft.put(end, to_value(&Outcome::Done));
+            draft.put(end, to_value(&EndRecord::done()));
         }
         let all_chunks: BTreeSet<u32> = held.keys().chain(chunks.keys()).copied().collect();
         if (finishes || job.over.is_some()) && no_starts && !left_over {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -27,11 +27,13 @@
 }
 
 #[derive(Clone, Debug)]
-enum Call {
+pub(super) enum Call {
     Types,
     List,
     Rent(Rental, u32),
     Delete(Vec<MachineId>),
+    /// By their share's holder, as nothing else proved in time that cancelled tasks are gone.
+    Clear(Vec<MachineId>),
 }
 
 /// A kind of machine as the cloud rents it out: type, zone, spot or not.
@@ -50,7 +52,7 @@
     refused: HashMap<Offer, Micros>,
     pub deleting: BTreeSet<MachineId>,
     /// Machines whose deletion was confirmed; late reports of theirs count for nothing.
-    deleted: BTreeMap<MachineId, Micros>,
+    pub deleted: BTreeMap<MachineId, Micros>,
     next_plan: Micros,
     next_tidy: Micros,
     /// Machines not in the books that answered when they were asked.
@@ -90,12 +92,12 @@
 const TYPES_EVERY: Micros = Micros::from_millis(60_000);
 
 impl Core {
-    fn cloud(&mut self, call: Call) {
+    pub(super) fn cloud(&mut self, call: Call) {
         let request = match &call {
             Call::Types => CloudCall::Types,
             Call::List => CloudCall::List { after: self.leader.page.last().map(|m| m.id.clone()) },
             Call::Rent(rental, _) => CloudCall::Rent(rental.clone()),
-            Call::Delete(ids) => CloudCall::Delete(ids.clone()),
+            Call::Delete(ids) | Call::Clear(ids) => CloudCall::Delete(ids.clone()),
         };
         let number = self.next_call;
         self.next_call += 1;
@@ -198,13 +200,16 @@
                 }
                 self.strike_out(booked);
             }
+            (Call::Clear(ids), CloudOutcome::Deleted) => self.machines_cleared(ids),
+            // Asked for again as long as it is due.
+            (Call::Clear(_), _) => {}
             (Call::Delete(ids), _) => self.leader.again.push((now + Micros::from_millis(500), Call::Delete(ids))),
         }
     }
 
     /// Takes deleted machines out of the books, which proves to their shares that nothing is left
     /// on them.
-    fn strike_out(&mut self, ids: Vec<MachineId>) {
+    pub(super) fn strike_out(&mut self, ids: Vec<MachineId>) {
         let most = self.platform.deployment.state.txn_ops;
         for ids in ids.chunks(most) {
             let mut draft = Draft::default();
@@ -245,7 +250,8 @@
                 }
                 continue;
             }
-            if self.replica.machines.contains_key(&id) || self.leader.deleted.contains_key(&id) {
+            let gone = self.leader.deleted.contains_key(&id) || self.replica.is_gone(&id);
+            if self.replica.machines.contains_key(&id) || gone {
                 continue;
             }
             let boot = self.leader.boots.entry(id).or_insert_with(|| Boot {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -153,6 +153,8 @@
     pub writing: bool,
     /// Its first record is on its way.
     pub adopting: bool,
+    /// It obeys a later term than ours: a successor's.
+    pub outranked: bool,
 }
 
 impl Machine {
@@ -203,6 +205,7 @@
     /// former owner may have been heard by it and renewed its lease.
     fn new_owner(&mut self, now: Micros) {
         self.fenced = false;
+        self.outranked = false;
         self.push = true;
         self.push_after = Micros::ZERO;
         self.heard = now;
@@ -376,6 +379,7 @@
             self.reads.wanted = true;
             if let Some(machine) = self.machines.get_mut(&id) {
                 machine.doubt = Some(report.token);
+                machine.outranked = true;
                 machine.fenced = false;
                 machine.heard = self.clock.steady;
             }
@@ -429,6 +433,7 @@
             return;
         }
         let fenced = report.token >= token;
+        machine.outranked = report.token > token;
         // A report without our token may be a copy from before our time: no sign of life.
         if fenced || !checkin {
             machine.heard = now;
@@ -725,6 +730,7 @@
         match outcome {
             OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) => {
                 if report.machine != *id || token.is_none_or(|t| report.token > t) {
+                    machine.outranked |= report.machine == *id;
                     self.reads.wanted = true;
                     return;
                 }
@@ -785,6 +791,7 @@
         self.machines.retain(|id, m| booked.contains_key(id) || m.direct || m.writing || m.adopting);
         self.judge_contact(&ours);
         self.expire_leases(&ours);
+        self.clear_cancelled();
         self.probe(&ours);
         self.judge_deaf(&ours);
         self.replace_silent(&ours);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 //! is either in the state service (see [`crate::bookkeeping`]) or was proven by a worker's report.
 
 pub mod budget;
+mod cancellations;
 mod jobs;
 mod leader;
 pub mod lives;
@@ -17,6 +18,7 @@
 
 use crate::bookkeeping::{Change, Replica, schema};
 use crate::protocol::cloud::{MachineList, MachineNames, MachineType, MachineTypes, Rental};
+use crate::protocol::peer::{Cancelled, Knows};
 use crate::protocol::state::{Changes, Page, Txn};
 use crate::protocol::user::{JobStatus, Submission};
 use crate::protocol::worker::{DirectOrders, Orders, Report};
@@ -145,6 +147,13 @@
         call: u64,
         outcome: CloudOutcome,
     },
+    /// A sibling tells of cancelled jobs.
+    Peer(Waiter, Cancelled),
+    /// What a sibling says that we told; nothing if no answer came.
+    PeerAnswer {
+        call: u64,
+        answer: Option<Knows>,
+    },
     Tick,
 }
 
@@ -210,8 +219,22 @@
     AnswerUser(Waiter, UserAnswer),
     AnswerWorker(Waiter, WorkerAnswer),
     State(StateCall),
-    Orders { machine: MachineId, addr: SocketAddr, orders: DirectOrders },
-    Cloud { call: u64, request: CloudCall },
+    Orders {
+        machine: MachineId,
+        addr: SocketAddr,
+        orders: DirectOrders,
+    },
+    Cloud {
+        call: u64,
+        request: CloudCall,
+    },
+    /// To the sibling of that label.
+    Peer {
+        call: u64,
+        to: String,
+        message: Cancelled,
+    },
+    AnswerPeer(Waiter, Knows),
 }
 
 /// A machine type with its room worked out.
@@ -245,6 +268,7 @@
     seats: seats::Seats,
     txns: txns::Txns,
     users: users::Users,
+    cancellations: cancellations::Cancellations,
     /// The change budget.
     budget: budget::Budget,
     sums: lives::Sums,
@@ -317,6 +341,7 @@
             seats: seats::Seats::default(),
             txns: txns::Txns::default(),
             users: users::Users::default(),
+            cancellations: cancellations::Cancellations::default(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             pushes: BTreeSet::new(),
@@ -373,6 +398,8 @@
             Command::Lease(outcome) => self.lease_outcome(outcome),
             Command::Orders { machine, outcome } => self.orders_outcome(&machine, outcome),
             Command::Cloud { call, outcome } => self.cloud_outcome(call, outcome),
+            Command::Peer(waiter, message) => self.told_by_sibling(waiter, &message),
+            Command::PeerAnswer { call, answer } => self.sibling_answered(call, answer),
             Command::Tick => self.tick(),
         }
     }
@@ -415,6 +442,7 @@
             self.place(time_left);
             self.spend();
             self.push_orders();
+            self.confirm_cancellations();
         }
         self.start_fresh_read();
         std::mem::take(&mut self.out)
@@ -458,7 +486,9 @@
         fresh.types = std::mem::take(&mut self.types);
         fresh.next_call = self.next_call;
         fresh.direct_open = self.direct_open;
-        for waiter in self.users.all_waiters() {
+        fresh.cancellations.next_call = self.cancellations.next_call;
+        let waiters = self.users.all_waiters().into_iter().chain(self.cancellations.all_waiters());
+        for waiter in waiters {
             fresh.out.push(Effect::AnswerUser(waiter, UserAnswer::Unavailable { retry_after_s: 1 }));
         }
         for held in self.unbooked.drain(..) {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -205,6 +205,7 @@
             .machines
             .iter()
             .filter(|(_, r)| r.value.share == share && r.value.hold.is_none())
+            .filter(|(id, _)| !self.is_cleared(id))
             .filter_map(|(id, record)| {
                 let machine = self.machines.get(id)?;
                 if !machine.fenced || machine.notice || now.since(machine.heard) > recent || !machine.trusted() {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -5,7 +5,7 @@
 
 use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
 use super::{Core, Effect, UserAnswer, UserRequest, Waiter};
-use crate::bookkeeping::schema::{BatchMember, JobRecord, Key, Outcome, to_value};
+use crate::bookkeeping::schema::{BatchMember, EndRecord, JobRecord, Key, Outcome, to_value};
 use crate::protocol::user::{JobSpec, JobState, JobStatus, Kind, Submission};
 use crate::units::{JobId, Micros, Room};
 use std::collections::{HashMap, VecDeque};
@@ -59,16 +59,24 @@
 /// Part of the allowed size that a value of several entries is filled to.
 pub(super) const VALUE_FILL: f64 = 0.9;
 
-const BUSY: UserAnswer = UserAnswer::Unavailable { retry_after_s: 1 };
+pub(super) const BUSY: UserAnswer = UserAnswer::Unavailable { retry_after_s: 1 };
 
 impl Core {
-    fn answer(&mut self, waiter: Waiter, answer: UserAnswer) {
+    pub(super) fn answer(&mut self, waiter: Waiter, answer: UserAnswer) {
         self.out.push(Effect::AnswerUser(waiter, answer));
     }
 
+    /// Tells a user how a job stands; that it is cancelled only once that is known where it counts.
+    fn tell(&mut self, waiter: Waiter, status: JobStatus) {
+        match status.state {
+            JobState::Cancelled => self.tell_cancelled(waiter, status.id),
+            _ => self.answer(waiter, UserAnswer::Status(status)),
+        }
+    }
+
     /// The final state of a job that is over.
-    fn final_status(&self, id: &JobId) -> Option<JobStatus> {
-        let state = match self.replica.ends.get(id)?.value {
+    pub(super) fn final_status(&self, id: &JobId) -> Option<JobStatus> {
+        let state = match self.replica.ends.get(id)?.value.outcome {
             Outcome::Done => JobState::Done,
             Outcome::Cancelled => JobState::Cancelled,
         };
@@ -99,11 +107,11 @@
         }
         match request {
             UserRequest::Get(id) => match self.final_status(&id) {
-                Some(status) => self.answer(waiter, UserAnswer::Status(status)),
+                Some(status) => self.tell(waiter, status),
                 None => self.users.next.push((waiter, Question::Status(id))),
             },
             UserRequest::Cancel(id) => match self.final_status(&id) {
-                Some(status) => self.answer(waiter, UserAnswer::Status(status)),
+                Some(status) => self.tell(waiter, status),
                 None if self.replica.jobs.contains_key(&id) => self.cancel(waiter, id),
                 None => self.users.next.push((waiter, Question::Cancel(id))),
             },
@@ -116,7 +124,7 @@
             return self.answer(waiter, UserAnswer::Malformed);
         };
         if let Some(status) = self.final_status(&id) {
-            return self.answer(waiter, UserAnswer::Status(status));
+            return self.tell(waiter, status);
         }
         let spec = submission.spec;
         let fine = spec.as_ref().is_some_and(|s| self.refusal(s).is_none());
@@ -193,7 +201,7 @@
             txn.unchanged(&self.replica, Key::Batch(known.batch.clone()));
         }
         txn.unchanged(&self.replica, Key::End(id.clone()));
-        txn.put(Key::End(id.clone()), to_value(&Outcome::Cancelled));
+        txn.put(Key::End(id.clone()), to_value(&EndRecord::cancelled(self.clock.wall)));
         self.submit_txn(txn, Purpose::Cancel(id));
     }
 
@@ -211,15 +219,18 @@
                 UserAnswer::Status(_) if !sure => {
                     self.users.next.push((waiter, Question::Known(id.clone())));
                 }
+                UserAnswer::Status(status) => self.tell(waiter, status),
                 answer => self.answer(waiter, answer),
             }
         }
     }
 
     pub(super) fn cancel_over(&mut self, id: &JobId, _committed: bool) {
-        let answer = self.final_status(id).map_or(BUSY, UserAnswer::Status);
         for waiter in self.users.cancels.remove(id).unwrap_or_default() {
-            self.answer(waiter, answer.clone());
+            match self.final_status(id) {
+                Some(status) => self.tell(waiter, status),
+                None => self.answer(waiter, BUSY),
+            }
         }
     }
 
@@ -231,21 +242,24 @@
                 continue;
             }
             match question {
-                Question::Status(id) => {
-                    let answer = self.status(&id).map_or(UserAnswer::NotFound, UserAnswer::Status);
-                    self.answer(waiter, answer);
-                }
-                Question::Known(id) => {
-                    let answer = self.status(&id).map_or(BUSY, UserAnswer::Status);
-                    self.answer(waiter, answer);
-                }
+                Question::Status(id) => match self.status(&id) {
+                    Some(status) => self.tell(waiter, status),
+                    None => self.answer(waiter, UserAnswer::NotFound),
+                },
+                Question::Known(id) => match self.status(&id) {
+                    Some(status) => self.tell(waiter, status),
+                    None => self.answer(waiter, BUSY),
+                },
                 Question::Cancel(id) => match self.status(&id) {
                     None => self.answer(waiter, UserAnswer::NotFound),
                     Some(_) => self.user_request(waiter, UserRequest::Cancel(id)),
                 },
                 Question::Submit(id, spec) => {
                     let answer = match (self.status(&id), spec) {
-                        (Some(status), _) => UserAnswer::Status(status),
+                        (Some(status), _) => {
+                            self.tell(waiter, status);
+                            continue;
+                        }
                         (None, None) => UserAnswer::Malformed,
                         (None, Some(spec)) => match self.refusal(&spec) {
                             Some(answer) => answer,
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,4 +1,5 @@
-//! Messages between controllers, in bitcode.
+//! Messages between controllers, in bitcode. An encoding does not describe itself, so a message whose form changes
+//! gets a path of its own; a sibling that doesn't know a path answers 404.
 
 use bitcode::{Decode, Encode};
 
@@ -10,6 +11,33 @@
     pub body: Vec<u8>,
 }
 
+pub const CANCELLED_PATH: &str = "/cancelled";
+
+/// Jobs of one share that are surely cancelled, to whoever holds the share.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Cancelled {
+    pub share: u32,
+    /// The term under which the sender saw it held.
+    pub term: u64,
+    pub jobs: Vec<CancelledJob>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct CancelledJob {
+    pub id: String,
+    /// Time of day at which it was cancelled, in microseconds.
+    pub at: u64,
+    /// Revision of the state service that made it so.
+    pub revision: u64,
+}
+
+/// The answer to that: whether it holds the share under that term or a later one, and so sees to it that
+/// all tasks of the jobs end.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Knows {
+    pub holds: bool,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Relayed {
     pub status: u16,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -342,6 +342,15 @@
     mute_after_ms: u64 = 8000, 1000, 600000;
     /// Without an answer of the state service for this long users are refused at once.
     state_patience_ms: u64 = 2500, 500, 60000;
+    /// Whoever asks about a cancelled job waits at most this long for its share's holder to say that it knows.
+    confirm_patience_ms: u64 = 1000, 100, 4000;
+    /// Machines on which something of a cancelled job may still run are deleted once this part of the time allowed
+    /// for a cancellation is over, but not before a lease would have run out.
+    clear_part: f64 = 0.75, 0.1, 1.0;
+    /// So long before that time is over deleting begins in any case: the cloud's rate, and a call or two that fail.
+    clear_margin_ms: u64 = 6000, 0, 600000;
+    /// A controller that takes over after the time is up has so long to reach a machine before it is deleted.
+    clear_contact_ms: u64 = 3000, 0, 600000;
     /// Failed tasks of different jobs, without a success between, that make a machine suspect.
     faulty_after: u32 = 2, 1, 1000;
     /// A share gets a new term when its machines name so many exited tasks each in the mean, which lets them
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -2,8 +2,9 @@
 
 use super::calls::{Services, spawn};
 use super::client::Client;
-use super::server::{Bounces, Gate, Standing, UserAsk, WorkerAsk, look_at_siblings, serve};
+use super::server::{Bounces, Gate, PeerAsk, Standing, UserAsk, WorkerAsk, look_at_siblings, serve, tell_sibling};
 use crate::coordination::{Clock, Command, Core, Effect, UserAnswer, Waiter, WorkerAnswer};
+use crate::protocol::peer::Knows;
 use crate::settings::{Platform, Policy};
 use crate::units::Micros;
 use std::collections::HashMap;
@@ -21,6 +22,8 @@
 const USER_ASKS: usize = 512;
 /// Reports that may queue for the core; more wait in their sockets.
 const WORKER_ASKS: usize = 256;
+/// Siblings' messages that may queue for the core; more are refused at once.
+const PEER_ASKS: usize = 64;
 const TICK: Duration = Duration::from_millis(100);
 /// Connections from siblings.
 const SIBLINGS_MOST: usize = 64;
@@ -29,6 +32,7 @@
     next: Waiter,
     users: HashMap<Waiter, oneshot::Sender<UserAnswer>>,
     workers: HashMap<Waiter, oneshot::Sender<WorkerAnswer>>,
+    peers: HashMap<Waiter, oneshot::Sender<Knows>>,
 }
 
 /// Runs a controller until the process ends.
@@ -40,11 +44,13 @@
     let services = Arc::new(Services::new(&platform, &policy, client.clone()));
     let (users, mut from_users) = mpsc::channel::<UserAsk>(USER_ASKS);
     let (workers, mut from_workers) = mpsc::channel::<WorkerAsk>(WORKER_ASKS);
+    let (peers, mut from_peers) = mpsc::channel::<PeerAsk>(PEER_ASKS);
     let (outcomes, mut done) = mpsc::unbounded_channel::<Command>();
     let gate = Arc::new(Gate {
         bounces: Bounces::default(),
         users,
         workers,
+        peers,
         standing: Standing::default(),
         siblings: platform.siblings.iter().map(|s| (s.label.clone(), s.address)).collect(),
         client,
@@ -68,7 +74,7 @@
         wall: Micros(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)),
     };
     let mut core = Core::new(platform.clone(), policy.clone(), rand::random());
-    let mut waiters = Waiters { next: 0, users: HashMap::new(), workers: HashMap::new() };
+    let mut waiters = Waiters { next: 0, users: HashMap::new(), workers: HashMap::new(), peers: HashMap::new() };
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let budget = Duration::from_micros(policy.round_budget_us);
@@ -81,6 +87,7 @@
             tokio::select! {
                 biased;
                 Some(command) = done.recv() => core.handle(clock(), command),
+                Some(ask) = from_peers.recv() => waiters.peer(&mut core, clock(), ask),
                 Some(ask) = from_users.recv() => waiters.user(&mut core, clock(), ask),
                 Some(ask) = from_workers.recv() => waiters.worker(&mut core, clock(), ask),
                 _ = tick.tick() => core.handle(clock(), Command::Tick),
@@ -91,6 +98,10 @@
                 core.handle(clock(), command);
                 continue;
             }
+            if let Ok(ask) = from_peers.try_recv() {
+                waiters.peer(&mut core, clock(), ask);
+                continue;
+            }
             // One of each in turn, so that neither keeps out the other.
             let user = from_users.try_recv().map(|ask| waiters.user(&mut core, clock(), ask));
             let worker = from_workers.try_recv().map(|ask| waiters.worker(&mut core, clock(), ask));
@@ -103,7 +114,7 @@
         gate.standing.ready.store(core.is_ready(), Ordering::Relaxed);
         gate.standing.reaches_state.store(core.reaches_state(), Ordering::Relaxed);
         for effect in effects {
-            carry_out(effect, &services, &deliver, &mut waiters);
+            carry_out(effect, &services, &deliver, &mut waiters, &gate);
         }
     }
 }
@@ -115,6 +126,12 @@
         core.handle(clock, Command::User(self.next, ask.request));
     }
 
+    fn peer(&mut self, core: &mut Core, clock: Clock, ask: PeerAsk) {
+        self.next += 1;
+        self.peers.insert(self.next, ask.back);
+        core.handle(clock, Command::Peer(self.next, ask.message));
+    }
+
     fn worker(&mut self, core: &mut Core, clock: Clock, ask: WorkerAsk) {
         let WorkerAsk { report, relayed, back } = ask;
         self.next += 1;
@@ -128,6 +145,7 @@
     services: &Arc<Services>,
     deliver: &Arc<dyn Fn(Command) + Send + Sync>,
     waiters: &mut Waiters,
+    gate: &Arc<Gate>,
 ) {
     let services = services.clone();
     match effect {
@@ -142,6 +160,18 @@
                 let _ = back.send(answer);
             }
         }
+        Effect::AnswerPeer(waiter, answer) => {
+            if let Some(back) = waiters.peers.remove(&waiter) {
+                let _ = back.send(answer);
+            }
+        }
+        Effect::Peer { call, to, message } => {
+            let gate = gate.clone();
+            spawn(
+                async move { Command::PeerAnswer { call, answer: tell_sibling(&gate, &to, &message).await } },
+                deliver.clone(),
+            );
+        }
         Effect::State(call) => spawn(async move { services.state(call).await }, deliver.clone()),
         Effect::Orders { machine, addr, orders } => {
             spawn(async move { services.orders(machine, addr, orders).await }, deliver.clone());
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -2,7 +2,7 @@
 
 use super::client::Client;
 use crate::coordination::{UserAnswer, UserRequest, WorkerAnswer};
-use crate::protocol::peer::{Relay, Relayed};
+use crate::protocol::peer::{CANCELLED_PATH, Cancelled, Knows, Relay, Relayed};
 use crate::protocol::user::{self, JobState, JobStatus, Refusal};
 use crate::protocol::worker::{Orders, Redirect, Report};
 use crate::protocol::{BODY_LIMIT, decode, encode};
@@ -38,12 +38,19 @@
     pub back: oneshot::Sender<WorkerAnswer>,
 }
 
+/// What a sibling tells, with the way back.
+pub struct PeerAsk {
+    pub message: Cancelled,
+    pub back: oneshot::Sender<Knows>,
+}
+
 /// Users give up after 5 s and workers after 4 s.
 const ANSWER_LIMIT: Duration = Duration::from_millis(3500);
 const BODY_TIME: Duration = Duration::from_secs(5);
 const HEAD_TIME: Duration = Duration::from_secs(75);
 const HEAD_TIME_CROWDED: Duration = Duration::from_secs(2);
 const RELAY_LIMIT: Duration = Duration::from_millis(1500);
+const TELL_LIMIT: Duration = Duration::from_millis(700);
 const STANDING_PATH: &str = "/standing";
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 const LOOK_LIMIT: Duration = Duration::from_millis(700);
@@ -141,6 +148,7 @@
     pub bounces: Bounces,
     pub users: mpsc::Sender<UserAsk>,
     pub workers: mpsc::Sender<WorkerAsk>,
+    pub peers: mpsc::Sender<PeerAsk>,
     pub standing: Standing,
     pub siblings: Vec<(String, SocketAddr)>,
     pub client: Client,
@@ -288,9 +296,27 @@
     if peers && path == "/relay" {
         return relayed(gate, &body).await;
     }
+    if peers && path == CANCELLED_PATH {
+        return told(gate, &body).await;
+    }
     route(gate, &method, &path, &body, !peers).await
 }
 
+/// A sibling tells of cancelled jobs and waits to hear whether we see to them.
+async fn told(gate: &Gate, body: &[u8]) -> Plain {
+    let Ok(message) = bitcode::decode::<Cancelled>(body) else {
+        return Plain::error(400, "malformed");
+    };
+    let (back, answer) = oneshot::channel();
+    if gate.peers.try_send(PeerAsk { message, back }).is_err() {
+        return Plain::unavailable(1);
+    }
+    match timeout(ANSWER_LIMIT, answer).await {
+        Ok(Ok(knows)) => Plain::new(200, bitcode::encode(&knows)),
+        _ => Plain::unavailable(1),
+    }
+}
+
 /// `relay`: what can't be served here may be passed to a sibling.
 async fn route(gate: &Gate, method: &Method, path: &str, body: &[u8], relay: bool) -> Plain {
     if path == "/checkin" {
@@ -384,6 +410,14 @@
     }
 }
 
+/// Tells a sibling of cancelled jobs. Without an answer nothing is known.
+pub async fn tell_sibling(gate: &Gate, label: &str, message: &Cancelled) -> Option<Knows> {
+    let (_, addr) = gate.siblings.iter().find(|(sibling, _)| sibling == label)?;
+    let body = bitcode::encode(message);
+    let answer = gate.client.call(*addr, Method::POST, CANCELLED_PATH, body, TELL_LIMIT).await.ok()?;
+    if answer.status == 200 { bitcode::decode(&answer.body).ok() } else { None }
+}
+
 /// The worker can't reach its owner but both reach us: without this its lease would run out. The
 /// owner's answer carries the owner's token.
 async fn pass_report(gate: &Gate, owner: &str, body: &[u8]) -> Option<Plain> {
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -297,7 +297,7 @@
     replica.apply(&name, Some(&to_value(&Outcome::Done)), 5);
     replica.apply(&name, Some(&to_value(&Outcome::Cancelled)), 4);
     replica.apply(&name, None, 6);
-    assert_eq!(replica.ends.get(&id).map(|e| e.value), Some(Outcome::Done));
+    assert_eq!(replica.ends.get(&id).map(|e| e.value.outcome), Some(Outcome::Done));
 }
 
 #[test]
--- /dev/null
+++ b/tests/rules/cancellations.rs
@@ -0,0 +1,188 @@
+//! Cancellations that meet other troubles: once a user was told, nothing of the job may be left in time.
+
+use super::world::{CANCEL_S, LARGE, MS, Place, S, SMALL, Size, World};
+use super::{assert_clean, finish, keeping_idle_machines, seeds};
+use burlhatch::protocol::user::{JobState, Kind};
+use burlhatch::units::JobId;
+
+/// Arrays that run for much longer than a cancellation may take, of all teams.
+fn long_jobs(world: &mut World, count: u64, tasks: u32) -> Vec<JobId> {
+    let teams = ["red", "blue", "green"];
+    let ids = (0..count).map(|n| {
+        let mut spec = World::spec(Kind::Array, teams[n as usize % 3], tasks, 1.0);
+        spec.estimate_s = 150.0;
+        spec.spot = false;
+        world.submit(n + 1, spec)
+    });
+    ids.collect()
+}
+
+fn cancel_at(world: &mut World, ids: &[JobId], delay: u64) {
+    let at = world.now + delay;
+    for id in ids {
+        if let Some(job) = world.jobs.get_mut(id) {
+            job.cancel_at = Some(at);
+        }
+    }
+}
+
+fn told(world: &World, ids: &[JobId]) -> usize {
+    ids.iter().filter(|id| world.jobs[*id].cancelled.is_some()).count()
+}
+
+/// A small world in which long jobs of every team run, and the share whose holder gets into trouble.
+fn running(seed: u64) -> (World, Vec<JobId>, usize) {
+    let mut world = World::with_policy(seed, keeping_idle_machines());
+    let ids = long_jobs(&mut world, 6, 3);
+    world.run_for(25 * S);
+    assert!(ids.iter().all(|id| world.jobs[id].begun.is_some()), "{seed}: not all run");
+    let owner = world.holder(&format!("share/{}", seed % 3)).expect("owned");
+    (world, ids, owner)
+}
+
+/// What comes on top of the owner's being refused and the outage after it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum More {
+    Nothing,
+    /// The owner's siblings can't reach it either: late, or never.
+    PeersHeld,
+    PeersLost,
+    /// It stands still, or ends and comes back, soon after it may have said that it knows.
+    Freezes,
+    Crashes,
+    /// Machines hang from before the cancellation until long after its time is up.
+    Hang,
+    /// Nothing reaches some machines.
+    Deaf,
+    /// The refusal lasts until its seat has gone to a sibling, and the outage follows that at once.
+    HandsOver,
+}
+
+/// The state service refuses the owner of a share alone, users cancel through others, and then it is away for
+/// all for longer than a cancellation may take. The owner learns of outcomes by its watch, which is cut off, and
+/// goes on answering its workers as in any outage: their leases last, and so would the cancelled tasks. A
+/// direct start or stop that got no answer keeps a machine in doubt, and what would settle that is a new term,
+/// which an outage forbids as well.
+#[test]
+fn cancelled_through_others_while_the_owner_is_refused_and_then_all_are() {
+    let mores = [
+        More::Nothing,
+        More::PeersHeld,
+        More::PeersLost,
+        More::Freezes,
+        More::Crashes,
+        More::Hang,
+        More::Deaf,
+        More::HandsOver,
+    ];
+    let mut before_outage = [0; 8];
+    for (seed, (n, more)) in seeds(20, 24).zip(mores.into_iter().enumerate().cycle()) {
+        let (mut world, ids, owner) = running(seed);
+        // The cancellation comes with the refusal, before it, or after it.
+        match seed / 8 % 3 {
+            0 => cancel_at(&mut world, &ids, 0),
+            1 => cancel_at(&mut world, &ids, 700 * MS),
+            _ => {
+                cancel_at(&mut world, &ids, 0);
+                world.run_for(250 * MS);
+            }
+        }
+        if more == More::Hang {
+            for nth in 0..3 {
+                world.hang(nth, (CANCEL_S + 15) * S);
+            }
+        }
+        if more == More::Deaf {
+            for nth in 0..2 {
+                world.mute(nth, (CANCEL_S + 15) * S);
+            }
+        }
+        if matches!(more, More::PeersHeld | More::PeersLost) {
+            let peers = move |a: &Place, b: &Place| *a == Place::Node(owner) && matches!(b, Place::Node(_));
+            world.cut(10 * S, more == More::PeersHeld, peers);
+        }
+        world.refuse_node(owner, 14 * S);
+        let until_outage = if more == More::HandsOver { 5 * S } else { 2 * S };
+        world.run_for(until_outage);
+        world.state_outage((CANCEL_S + 20) * S);
+        before_outage[n] += told(&world, &ids);
+        match more {
+            More::Freezes => world.freeze(owner, 30 * S),
+            More::Crashes => world.crash(owner, 300 * MS),
+            _ => {}
+        }
+        world.run_for((CANCEL_S + 25) * S);
+        assert_clean(&world, &format!("gap {more:?} {seed}"));
+        finish(&mut world, &format!("gap {more:?} {seed}"));
+    }
+    // Without the owner's word users of its jobs are told nothing, but those of others are.
+    assert!(before_outage.iter().all(|told| *told > 0), "told before the outage: {before_outage:?}");
+}
+
+/// While the owner's siblings can't reach it, though the state service can be reached by all, users are not kept
+/// waiting for its word: what is left of a job in the books tells the same.
+#[test]
+fn without_words_between_controllers_the_books_tell() {
+    for seed in seeds(21, 3) {
+        let (mut world, ids, _) = running(seed);
+        world.cut(80 * S, false, |a, b| matches!((a, b), (Place::Node(_), Place::Node(_))));
+        cancel_at(&mut world, &ids, 0);
+        world.run_for(20 * S);
+        assert_eq!(told(&world, &ids), ids.len(), "{seed}: not all were told");
+        finish(&mut world, &format!("no words {seed}"));
+    }
+}
+
+/// Machines hang as a job with hundreds of tasks is cancelled, more at once than are taken for lost, and go on
+/// when its time is up; meanwhile nothing can be written down. Those that are not proven idle are deleted, the
+/// rest stays.
+#[test]
+fn hundreds_of_tasks_are_cancelled_as_their_machines_hang() {
+    let mut world = World::sized(22_000, keeping_idle_machines(), Size { machines: 60, capacity: 70, ..LARGE });
+    let mut spec = World::spec(Kind::Array, "green", 200, 1.0);
+    spec.estimate_s = 200.0;
+    let id = world.submit(1, spec);
+    world.run_for(30 * S);
+    cancel_at(&mut world, std::slice::from_ref(&id), 0);
+    for nth in 0..25 {
+        world.hang(nth * 2, (CANCEL_S + 10) * S);
+    }
+    world.run_for(2 * S);
+    assert_eq!(world.jobs[&id].told, Some(JobState::Cancelled));
+    let machines = world.workers.len();
+    world.state_outage((CANCEL_S + 20) * S);
+    world.run_for((CANCEL_S + 25) * S);
+    assert_clean(&world, "hundreds");
+    assert!(world.workers.len() * 2 >= machines, "machines deleted: {} of {machines} left", world.workers.len());
+    finish(&mut world, "hundreds");
+}
+
+/// A successor finds cancelled jobs in the books whose tasks run on machines that only the former owner can
+/// reach, which is cut off from all else and goes on answering them. Then the state service is away, too, and it
+/// can't be written down that the machines are to go. When they have to follows from the time in the books.
+#[test]
+fn a_successor_that_cannot_reach_the_machines_deletes_them_in_time() {
+    for seed in seeds(23, 4) {
+        let mut world = World::sized(seed, keeping_idle_machines(), Size { machines: 8, ..SMALL });
+        let ids = long_jobs(&mut world, 6, 3);
+        world.run_for(25 * S);
+        let owner = world.holder(&format!("share/{}", seed % 3)).expect("owned");
+        let mine = move |place: &Place| *place == Place::Node(owner);
+        // All workers hear the old owner only, and it hears nobody else.
+        world.cut((CANCEL_S + 30) * S, true, move |a, b| match (a, b) {
+            (Place::Worker(_), Place::Node(_)) | (Place::Node(_), Place::Worker(_)) => !mine(a) && !mine(b),
+            _ => mine(a) || mine(b),
+        });
+        world.run_for(6 * S);
+        assert_eq!(world.unowned_shares(), 0, "{seed}: taken over");
+        cancel_at(&mut world, &ids, 0);
+        world.run_for(3 * S);
+        assert!(told(&world, &ids) > 0, "{seed}: nobody was told");
+        if seed % 2 == 1 {
+            world.state_outage((CANCEL_S + 20) * S);
+        }
+        world.run_for((CANCEL_S + 27) * S);
+        assert_clean(&world, &format!("successor {seed}"));
+        finish(&mut world, &format!("successor {seed}"));
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules/main.rs
@@ -1,5 +1,6 @@
 //! Days in the simulated world: whatever fails, the protocol's rules hold and jobs get done.
 
+mod cancellations;
 mod world;
 
 use burlhatch::coordination::UserAnswer;
--- a/tests/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -11,6 +11,7 @@
     Clock, CloudCall, CloudOutcome, Command, Core, Effect, Failure, OrdersOutcome, ReadOutcome, StateCall, TxnOutcome,
     UserAnswer, UserRequest, WorkerAnswer,
 };
+use burlhatch::protocol::peer::Cancelled;
 use burlhatch::protocol::user::{JobSpec, JobState, Kind, Priority, Submission};
 use burlhatch::protocol::worker::{DirectOrders, Report};
 use burlhatch::settings::{Platform, Policy};
@@ -127,6 +128,14 @@
         call: u64,
         command: Command,
     },
+    Peer {
+        node: usize,
+        life: u64,
+        call: u64,
+        to: usize,
+        number: u64,
+        message: Cancelled,
+    },
     WatchEnds {
         call: u64,
     },
@@ -163,6 +172,8 @@
     next_waiter: u64,
     users: BTreeMap<u64, (u64, Asked)>,
     workers: BTreeMap<u64, (MachineId, u64)>,
+    /// Siblings that wait for an answer: which, its life, its call, and its own number for it.
+    peers: BTreeMap<u64, (usize, u64, u64, u64)>,
     /// It stands still until then while its clocks run on.
     frozen_until: u64,
     /// What reached it meanwhile.
@@ -270,6 +281,7 @@
                 next_waiter: 0,
                 users: BTreeMap::new(),
                 workers: BTreeMap::new(),
+                peers: BTreeMap::new(),
                 frozen_until: 0,
                 backlog: Vec::new(),
             };
@@ -309,6 +321,7 @@
             self.at(MS, Event::ReportAnswer { machine, serial, answer: None });
         }
         self.nodes[node].users.clear();
+        self.nodes[node].peers.clear();
         self.nodes[node].frozen_until = 0;
         self.nodes[node].backlog.clear();
         self.at(back_after, Event::Restart(node));
@@ -452,7 +465,10 @@
             Fate::Arrives(delay) => {
                 self.at(delay, event(call));
                 self.at(limit, Event::Outcome { node, life, call, command: fail(Failure::Unknown) });
-                if self.copies > 0 && matches!(to, Place::State | Place::Worker(_)) && self.chance(self.copies) {
+                if self.copies > 0
+                    && matches!(to, Place::State | Place::Worker(_) | Place::Node(_))
+                    && self.chance(self.copies)
+                {
                     let late = self.rng.random_range(0..60 * S);
                     self.at(late, event(call));
                 }
@@ -520,6 +536,22 @@
                     }
                 }
             }
+            Effect::AnswerPeer(waiter, answer) => {
+                if let Some((to, life, call, number)) = self.nodes[node].peers.remove(&waiter) {
+                    let command = Command::PeerAnswer { call: number, answer: Some(answer) };
+                    self.reply(Place::Node(node), to, life, call, command);
+                }
+            }
+            Effect::Peer { call: number, to, message } => {
+                let Some(to) = to.strip_prefix("node-").and_then(|n| n.parse().ok()) else { return };
+                self.call(
+                    node,
+                    Place::Node(to),
+                    700 * MS,
+                    |call| Event::Peer { node, life, call, to, number, message: message.clone() },
+                    |_| Command::PeerAnswer { call: number, answer: None },
+                );
+            }
             Effect::State(request) => {
                 let limit = match &request {
                     StateCall::Changes { wait_ms, .. } => wait_ms * MS + 1500 * MS,
@@ -764,6 +796,15 @@
                 }
             }
             Event::State { node, life, call, request } => self.state_request(node, life, call, request),
+            Event::Peer { node, life, call, to, number, message } => {
+                if self.nodes[to].core.is_none() {
+                    return;
+                }
+                self.nodes[to].next_waiter += 1;
+                let waiter = self.nodes[to].next_waiter;
+                self.nodes[to].peers.insert(waiter, (node, life, call, number));
+                self.feed(to, Command::Peer(waiter, message));
+            }
             Event::WatchEnds { call } => {
                 if let Some(watch) = self.state.watches.remove(&call) {
                     let changes = self.state.changes(watch.after);
