--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -1,5 +1,6 @@
 //! Keys and values. Value field names are short: values are bounded and so are writes.
 
+use crate::coordination::pipelines::Urgency;
 use crate::protocol::user::JobSpec;
 use crate::units::{JobId, MachineId, Micros, Term};
 use ciborium::Value;
@@ -162,6 +163,14 @@
     pub spec: JobSpec,
 }
 
+impl JobRecord {
+    /// By itself, whoever needs it.
+    pub fn urgency(&self) -> Urgency {
+        let due = self.spec.deadline_s.map(|s| self.accepted + Micros::from_secs_f64(s));
+        Urgency { priority: self.spec.priority, due }
+    }
+}
+
 /// One recorded start: task, attempt, machine, session of the machine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartRecord(pub u32, pub u64, pub MachineId, pub u64);
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -40,13 +40,14 @@
 
 impl Budget {
     /// `together`: how many times the limit all controllers may ask for in sum at one moment.
-    pub fn new(limit: f64, controllers: u32, together: f64) -> Budget {
+    /// `least`: what the limit may be lowered to without notice.
+    pub fn new(limit: f64, least: f64, controllers: u32, together: f64) -> Budget {
         let part = limit / f64::from(controllers.max(1));
         let burst = (part * together).min(limit * MOST);
         let rate = (part * START).min(limit * MOST);
         Budget {
             limit,
-            least: part * LEAST,
+            least: least.min(limit) / f64::from(controllers.max(1)) * LEAST,
             rate,
             burst,
             level: burst,
--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -59,7 +59,10 @@
 
 impl Core {
     fn awareness(&self, id: &JobId) -> Awareness {
-        let Some(end) = self.replica.ends.get(id) else { return Awareness::Stale };
+        let Some(end) = self.replica.ends.get(id) else {
+            // Over because a job that it needs was cancelled: nothing of it was ever started.
+            return if self.swept.contains(id) { Awareness::Sure } else { Awareness::Stale };
+        };
         if self.cancellations.confirmed.contains(id) {
             return Awareness::Sure;
         }
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -2,6 +2,7 @@
 
 use super::Core;
 use super::lives::{Live, Lives, Phase};
+use super::pipelines::Urgency;
 use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
 use crate::bookkeeping::schema::{EndRecord, JobRecord, Key, Outcome, RunChunk, Seat, StartRecord, to_value};
 use crate::protocol::user::{JobSpec, Kind, Priority};
@@ -35,6 +36,14 @@
     pub over: Option<Outcome>,
     pub recorded: bool,
     pub preempting_until: Micros,
+    /// It waits for other jobs, and nothing of it may start.
+    pub held: bool,
+    /// Time of day from which it could start: when it was accepted, or the last job it waited for was done.
+    pub ready: Micros,
+    /// Its own, or that of jobs which need it.
+    pub urgency: Urgency,
+    /// Its books are larger than may be written; looked at again then.
+    pub too_large_until: Micros,
 }
 
 impl Job {
@@ -57,6 +66,10 @@
             over: None,
             recorded: true,
             preempting_until: Micros::ZERO,
+            held: false,
+            ready: record.accepted,
+            urgency: record.urgency(),
+            too_large_until: Micros::ZERO,
         }
     }
 
@@ -66,22 +79,43 @@
     }
 
     pub fn waiting(&self) -> u32 {
-        if self.over.is_some() {
+        if self.over.is_some() || self.held {
             0
         } else {
             self.spec.tasks - self.fresh_from.min(self.spec.tasks) + self.redo.len() as u32
         }
     }
 
-    /// Next task that may start now.
-    pub fn next_task(&self, now: Micros) -> Option<u32> {
+    /// Next task that may start now. `room` says whether a chunk of the books can name one more start.
+    pub fn next_task(&self, now: Micros, chunk_tasks: u32, room: impl Fn(u32) -> bool) -> Option<u32> {
+        if self.held {
+            return None;
+        }
+        let mut full = None;
+        let mut fits = |task: u32| {
+            let chunk = task / chunk_tasks;
+            if full == Some(chunk) {
+                return false;
+            }
+            let fits = room(chunk);
+            full = if fits { full } else { Some(chunk) };
+            fits
+        };
         let ripe = |t: &u32| self.not_before.get(t).is_none_or(|at| *at <= now);
-        self.redo.iter().copied().find(ripe).or((self.fresh_from < self.spec.tasks).then_some(self.fresh_from))
+        let again = self.redo.iter().copied().filter(ripe).find(|t| fits(*t));
+        // Where a chunk is full the next one's tasks go first; those left out come in their turn.
+        let fresh = || {
+            let rest = self.fresh_from / chunk_tasks..self.spec.tasks.div_ceil(chunk_tasks);
+            let chunk = rest.into_iter().find(|chunk| room(*chunk))?;
+            Some(self.fresh_from.max(chunk * chunk_tasks))
+        };
+        again.or_else(|| if self.fresh_from < self.spec.tasks { fresh() } else { None })
     }
 
     pub fn take_task(&mut self, task: u32) {
-        if task == self.fresh_from {
-            self.fresh_from += 1;
+        if task >= self.fresh_from {
+            self.redo.extend(self.fresh_from..task);
+            self.fresh_from = task + 1;
         } else {
             self.redo.remove(&task);
         }
@@ -149,8 +183,12 @@
             }
             let Some(known) = self.replica.jobs.get(id) else { return false };
             let share = self.share_of(known.record.spec.team.as_deref(), id);
-            self.jobs.insert(id.clone(), Job::new(id, &known.record, share));
+            let job = Job::new(id, &known.record, share);
             self.urgent_pass |= known.record.spec.priority > Priority::Normal;
+            self.jobs.insert(id.clone(), job);
+            if over.is_none() {
+                self.enter_pipeline(id);
+            }
         }
         let recorded = self.replica.jobs.contains_key(id);
         let Some(job) = self.jobs.get_mut(id) else { return false };
@@ -176,7 +214,9 @@
 
     fn forget_if_over(&mut self, id: &JobId) {
         let booked = self.replica.runs.contains_key(id);
-        let done_with = |job: &Job| (job.over.is_some() || !job.recorded) && !booked;
+        // One that is over because another was cancelled is known by its entry here until that is written down.
+        let ended = self.replica.ends.contains_key(id);
+        let done_with = |job: &Job| (ended && job.over.is_some() || !job.recorded) && !booked;
         if self.jobs.get(id).is_some_and(|job| done_with(job) && job.live.is_empty() && !job.locked) {
             self.jobs.remove(id);
             self.sums.touched.remove(id);
@@ -383,7 +423,7 @@
                 settled.push(id.clone());
                 continue;
             };
-            if job.locked {
+            if job.locked || now < job.too_large_until {
                 continue;
             }
             // Its owner's matter; all are looked at again when the share is taken.
@@ -420,7 +460,7 @@
     /// next ones as fit the same transaction.
     pub(super) fn record(&mut self, due: &mut VecDeque<(Micros, u32, JobId)>) {
         let limits = &self.platform.deployment.state;
-        let ops_max = limits.txn_ops;
+        let ops_max = limits.ops();
         // Near the limit the service rather refuses large transactions than small ones.
         let enough = ((limits.write_rps * self.policy.txn_part) as usize).clamp(4, ops_max);
         let Some(share) = due.front().map(|(_, share, _)| *share) else { return };
@@ -462,6 +502,7 @@
         let writer = self.nonce();
         let now = self.now();
         let progress_patience = Micros::from_millis(self.policy.progress_patience_ms);
+        let value_max = self.platform.deployment.state.value_bytes();
         let mut draft = Draft::default();
         let Some(job) = self.jobs.get_mut(id) else { return draft };
         job.locked = true;
@@ -579,6 +620,20 @@
             }
             return draft;
         }
+        // Written under a larger limit, or with more done in between than could be foreseen: such a chunk waits until
+        // enough of its starts have ended. What else there is goes on.
+        let too_large = |chunk: &RunChunk| serde_json::to_string(chunk).map_or(0, |text| text.len()) > value_max;
+        let before = chunks.len();
+        chunks.retain(|_, chunk| !too_large(chunk));
+        if chunks.len() < before {
+            tracing::debug!(job = %id, "a part of its books is larger than may be written now");
+            job.too_large_until = now + TOO_LARGE_PAUSE;
+            job.dirty_since = Some(Micros::ZERO);
+            if finishes {
+                // The outcome goes with the record of its last tasks or not at all.
+                return Draft::default();
+            }
+        }
         for machine in machines {
             draft.unchanged(&self.replica, Key::Machine(machine));
         }
@@ -591,6 +646,9 @@
     }
 }
 
+/// A job whose books are too large to be written is looked at again after so long.
+const TOO_LARGE_PAUSE: Micros = Micros::from_millis(500);
+
 /// Whether its task has to start once more.
 fn is_lost(live: &Live) -> bool {
     match live.phase() {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -210,7 +210,7 @@
     /// Takes deleted machines out of the books, which proves to their shares that nothing is left
     /// on them.
     pub(super) fn strike_out(&mut self, ids: Vec<MachineId>) {
-        let most = self.platform.deployment.state.txn_ops;
+        let most = self.platform.deployment.state.ops();
         for ids in ids.chunks(most) {
             let mut draft = Draft::default();
             for id in ids {
@@ -314,7 +314,7 @@
         let mut members: Vec<FleetMember> = Vec::new();
         let mut refused = Vec::new();
         let limits = self.platform.deployment.state.clone();
-        let room = (limits.value_kb * 1024.0 * VALUE_FILL) as usize;
+        let room = (limits.least_value_kb() * 1024.0 * VALUE_FILL) as usize;
         let mut size = 0;
         let reports: Vec<_> = self.unbooked.iter().map(|held| held.report.clone()).collect();
         let now = self.now();
@@ -352,7 +352,7 @@
             let member = FleetMember { id, record };
             let more = serde_json::to_string(&member).map_or(room, |text| text.len() + 1);
             // The seat's condition and the fleet's own leave room for so many machines'.
-            if size + more > room || members.len() + 2 == limits.txn_ops * CONDITIONS_PER_WRITE {
+            if size + more > room || members.len() + 2 == limits.ops() * CONDITIONS_PER_WRITE {
                 break;
             }
             size += more;
@@ -399,7 +399,7 @@
             return;
         }
         self.leader.next_tidy = now + TIDY_EVERY;
-        let most = self.platform.deployment.state.txn_ops;
+        let most = self.platform.deployment.state.ops();
         let replica = &self.replica;
         let over = |id: &JobId| replica.ends.contains_key(id) && !replica.runs.contains_key(id);
         let batches = replica.batches.iter().filter(|(_, b)| b.value.iter().all(over));
@@ -501,7 +501,7 @@
             self.write_machine(&id, |record| record.hold = None);
         }
         moves.retain(|(id, _)| self.machines.get(id).is_none_or(|m| !m.writing));
-        moves.truncate(self.platform.deployment.state.txn_ops - 1);
+        moves.truncate(self.platform.deployment.state.ops() - 1);
         if moves.is_empty() {
             return;
         }
@@ -601,7 +601,7 @@
     fn fill(&self, share: u32, slots: &mut [Slot], unmet: &mut Vec<Unmet>) {
         let mut jobs: Vec<&Job> =
             self.jobs.values().filter(|j| j.share == share && j.recorded && j.over.is_none()).collect();
-        jobs.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.accepted));
+        jobs.sort_by_key(|j| (std::cmp::Reverse(j.urgency.priority), j.ready));
         let mut batch: Vec<Unmet> = Vec::new();
         let mut backlog = 0.0;
         let mut used: HashMap<&str, Room> = HashMap::new();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,9 +10,11 @@
 mod leader;
 pub mod lives;
 mod machines;
+pub mod pipelines;
 pub mod placement;
 mod reads;
 mod seats;
+mod stages;
 mod txns;
 mod users;
 
@@ -269,6 +271,9 @@
     txns: txns::Txns,
     users: users::Users,
     cancellations: cancellations::Cancellations,
+    pipelines: pipelines::Pipelines,
+    /// Jobs over because one that they need was cancelled, which their own keys don't say yet.
+    swept: BTreeSet<JobId>,
     /// The change budget.
     budget: budget::Budget,
     sums: lives::Sums,
@@ -324,6 +329,7 @@
             label: platform.label.clone(),
             budget: budget::Budget::new(
                 platform.deployment.state.write_rps,
+                platform.deployment.state.least_write_rps(),
                 platform.deployment.nodes,
                 policy.state_limits_together,
             ),
@@ -344,6 +350,8 @@
             txns: txns::Txns::default(),
             users: users::Users::default(),
             cancellations: cancellations::Cancellations::default(),
+            pipelines: pipelines::Pipelines::default(),
+            swept: BTreeSet::new(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             pushes: BTreeSet::new(),
@@ -434,6 +442,7 @@
         self.tick_machines();
         self.tick_types();
         self.tick_leader();
+        self.write_swept();
         self.pass_wanted = true;
     }
 
@@ -474,7 +483,10 @@
                 Change::Machines(ids) => ids.iter().for_each(|id| self.machine_changed(id)),
                 Change::Jobs(ids) => ids.iter().for_each(|id| self.job_changed(id)),
                 Change::Run(id, chunk) => self.run_changed(&id, chunk),
-                Change::End(id) => self.job_changed(&id),
+                Change::End(id) => {
+                    self.job_changed(&id);
+                    self.job_over(&id);
+                }
                 Change::Node(_) | Change::Nothing => {}
             }
         }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -128,19 +128,19 @@
     /// order of submission makes all late; this way the small ones are on time, and as the time of
     /// submission counts too, no large one waits for ever.
     fn turn(&self, job: &Job) -> Micros {
-        if let Some(deadline) = job.spec.deadline_s {
-            return job.accepted + Micros::from_secs_f64(deadline);
+        if let Some(due) = job.urgency.due {
+            return due;
         }
         let left = f64::from(job.spec.tasks.saturating_sub(job.done)) * job.spec.cpus * job.spec.estimate_s;
         let put_off = Micros::from_secs_f64(left * self.policy.wait_per_cpu_second_ms as f64 / 1000.0);
-        job.accepted + put_off.min(Micros::from_millis(self.policy.wait_most_ms))
+        job.ready + put_off.min(Micros::from_millis(self.policy.wait_most_ms))
     }
 
     /// Whether no task of it was ever started though it was accepted long ago. The largest jobs
     /// would wait without end behind small ones that keep coming.
     fn is_overdue(&self, job: &Job) -> bool {
         let patience = Micros::from_millis(self.policy.begin_within_ms);
-        job.fresh_from == 0 && self.clock.wall.since(job.accepted) >= patience
+        job.fresh_from == 0 && self.clock.wall.since(job.ready) >= patience
     }
 
     /// Jobs of our shares that wait for a place: by priority, then those that should have begun long
@@ -152,7 +152,7 @@
             .filter(|(_, j)| j.recorded && !j.locked && j.waiting() > 0 && self.held(Seat::Share(j.share)).is_some())
             .map(|(id, job)| {
                 let (overdue, within) = (self.is_overdue(job), self.within_guarantee(job));
-                ((std::cmp::Reverse(job.spec.priority), !overdue, !within, self.turn(job), job.accepted), id.clone())
+                ((std::cmp::Reverse(job.urgency.priority), !overdue, !within, self.turn(job), job.ready), id.clone())
             })
             .collect();
         waiting.sort();
@@ -253,7 +253,9 @@
         // Locked jobs are left alone while a transaction is on its way, so one takes all it can.
         loop {
             let Some(job) = self.jobs.get(id) else { return };
-            let Some(task) = job.next_task(now) else { return };
+            let Some(task) = job.next_task(now, self.chunk_tasks, |chunk| self.chunk_has_room(id, job, chunk)) else {
+                return;
+            };
             if !self.within_limit(job) {
                 return;
             }
@@ -274,7 +276,8 @@
     /// Step 6: all tasks in one pass or none.
     fn place_gang(&mut self, id: &JobId, spots: &mut [Spot]) {
         let Some(job) = self.jobs.get(id) else { return };
-        if !job.live.is_empty() || job.waiting() < job.spec.tasks {
+        let named = |chunk| self.chunk_has_room(id, job, chunk);
+        if !job.live.is_empty() || job.waiting() < job.spec.tasks || !named(0) {
             return;
         }
         let tasks = job.spec.tasks;
@@ -370,8 +373,8 @@
 
     fn chosen(&self, job: &Job, choices: &Choices) -> Option<usize> {
         let now = self.clock.wall;
-        let slack = match job.spec.deadline_s {
-            Some(d) => (job.accepted + Micros::from_secs_f64(d)).since(now + job.spec.estimate()),
+        let slack = match job.urgency.due {
+            Some(due) => due.since(now + job.spec.estimate()),
             None => Micros::from_millis(self.policy.default_slack_ms),
         };
         choose(&choices.candidates, slack, Micros::from_millis(self.policy.holder_margin_ms))
@@ -496,7 +499,7 @@
             .filter_map(|(other, task)| {
                 let victim = self.jobs.get(other)?;
                 let live = victim.live.get(*task)?;
-                let below = victim.spec.priority < job.spec.priority && victim.spec.kind == Kind::Array;
+                let below = victim.urgency.priority < job.spec.priority && victim.spec.kind == Kind::Array;
                 let stoppable = live.phase().on_machine() && live.stop.is_none();
                 let began = live.running_since.unwrap_or(now);
                 (below && stoppable).then(|| (now.since(began), other.clone(), *task, victim.room))
--- /dev/null
+++ b/src/coordination/stages.rs
@@ -0,0 +1,161 @@
+//! Jobs that wait for others: when they are ready, and what becomes of them when one they need is cancelled.
+//!
+//! That a job is over because one it needs was cancelled follows from the books alone: the other's outcome is
+//! written once, and nothing of a job starts before all it needs are done. So every controller derives it for
+//! itself and may tell it at once, and there are no tasks to end. The job's own outcome is written when there is
+//! time for it, so that its batch can be cleared away.
+
+use super::Core;
+use super::jobs::Job;
+use super::pipelines::Urgency;
+use super::txns::{Draft, Purpose};
+use crate::bookkeeping::schema::{EndRecord, JobRecord, Key, Outcome, Seat, to_value};
+use crate::protocol::user::{JobSpec, Priority};
+use crate::units::{JobId, Micros};
+
+/// Bytes of a run chunk besides its starts and ranges, and of a start and a range besides the task's number.
+const CHUNK_BYTES: usize = 64;
+const START_BYTES: usize = 24;
+const RANGE_BYTES: usize = 4;
+
+impl Core {
+    /// What became of a job, whether its own key says so or that of one it needs.
+    pub(super) fn outcome(&self, id: &JobId) -> Option<Outcome> {
+        let written = self.replica.ends.get(id).map(|e| e.value.outcome);
+        written.or_else(|| self.swept.contains(id).then_some(Outcome::Cancelled))
+    }
+
+    /// Whether all jobs it awaits are known to have been accepted.
+    pub(super) fn knows_awaited(&self, spec: &JobSpec) -> bool {
+        spec.awaits.iter().all(|id| self.replica.jobs.contains_key(id) || self.replica.ends.contains_key(id))
+    }
+
+    /// How long a job takes once it is ready, for those that have to be done before it. Estimates are often wrong by
+    /// half, and tasks don't all start at once.
+    fn span(&self, record: &JobRecord) -> Micros {
+        let estimate = record.spec.estimate_s * self.policy.stage_estimate_factor;
+        Micros::from_secs_f64(estimate) + Micros::from_millis(self.policy.stage_overhead_ms)
+    }
+
+    /// Ties a job that has just become known to those it waits for.
+    pub(super) fn enter_pipeline(&mut self, id: &JobId) {
+        let Some(known) = self.replica.jobs.get(id) else { return };
+        let awaits = known.record.spec.awaits.clone();
+        if awaits.is_empty() && self.pipelines.urgency(id).is_none() {
+            return;
+        }
+        let (own, span) = (known.record.urgency(), self.span(&known.record));
+        self.pipelines.note(id, own, span);
+        let mut raised = vec![id.clone()];
+        let mut cancelled = false;
+        for before in &awaits {
+            match self.outcome(before) {
+                Some(Outcome::Done) => {}
+                Some(Outcome::Cancelled) => cancelled = true,
+                None => {
+                    if let Some(earlier) = self.replica.jobs.get(before) {
+                        let (own, span) = (earlier.record.urgency(), self.span(&earlier.record));
+                        self.pipelines.note(before, own, span);
+                    } else {
+                        // Accepted, as it was named, though not read yet.
+                        let own = Urgency { priority: Priority::Low, due: None };
+                        self.pipelines.note(before, own, Micros::ZERO);
+                    }
+                    raised.extend(self.pipelines.link(id, before));
+                }
+            }
+        }
+        // It may have been noted before as one that others wait for.
+        raised.extend(self.pipelines.raise_before(id));
+        for id in raised {
+            self.take_urgency(&id);
+        }
+        let held = self.pipelines.waits(id);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.held = held || cancelled;
+        }
+        if cancelled {
+            self.sweep(id);
+            self.job_over(id);
+        }
+    }
+
+    fn take_urgency(&mut self, id: &JobId) {
+        if let (Some(job), Some(urgency)) = (self.jobs.get_mut(id), self.pipelines.urgency(id)) {
+            job.urgency = urgency;
+        }
+    }
+
+    /// A job that waits for a cancelled one is over.
+    fn sweep(&mut self, id: &JobId) {
+        if self.replica.ends.contains_key(id) {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.over = Some(Outcome::Cancelled);
+            self.swept.insert(id.clone());
+        }
+    }
+
+    /// A job is over: those that waited for it are ready, or over as well, and so on.
+    pub(super) fn job_over(&mut self, id: &JobId) {
+        let mut open = vec![id.clone()];
+        while let Some(id) = open.pop() {
+            if self.replica.ends.contains_key(&id) {
+                self.swept.remove(&id);
+            }
+            let Some(outcome) = self.outcome(&id) else { continue };
+            let done = outcome == Outcome::Done;
+            for follower in self.pipelines.ended(&id, done) {
+                if done {
+                    self.ready(&follower);
+                } else {
+                    self.sweep(&follower);
+                    open.push(follower);
+                }
+            }
+        }
+    }
+
+    fn ready(&mut self, id: &JobId) {
+        let now = self.clock.wall;
+        if let Some(job) = self.jobs.get_mut(id).filter(|j| j.over.is_none()) {
+            job.held = false;
+            job.ready = now.max(job.accepted);
+            self.urgent_pass |= job.urgency.priority > Priority::Normal;
+            self.pass_wanted = true;
+            tracing::debug!(job = %id, "ready: all it needs is done");
+        }
+    }
+
+    /// Writes down, in the shares held here, that swept jobs are over. Nobody waits for it.
+    pub(super) fn write_swept(&mut self) {
+        if self.swept.is_empty() || self.txns.sweeping() {
+            return;
+        }
+        let most = self.platform.deployment.state.ops();
+        let ours = |id: &&JobId| self.jobs.get(*id).is_some_and(|j| self.held(Seat::Share(j.share)).is_some());
+        let ids: Vec<JobId> = self.swept.iter().filter(ours).take(most).cloned().collect();
+        if ids.is_empty() {
+            return;
+        }
+        let mut draft = Draft::default();
+        for id in &ids {
+            draft.unchanged(&self.replica, Key::End(id.clone()));
+            draft.put(Key::End(id.clone()), to_value(&EndRecord::cancelled(self.clock.wall)));
+        }
+        self.submit_txn(draft, Purpose::Sweep);
+    }
+
+    /// Whether a chunk of a job's books can name one more start and stay within what may be written. A start that
+    /// ends leaves a range at most, which is shorter.
+    pub(super) fn chunk_has_room(&self, id: &JobId, job: &Job, chunk: u32) -> bool {
+        let tasks = chunk * self.chunk_tasks..(chunk + 1).saturating_mul(self.chunk_tasks);
+        let starts = job.live.range(tasks).count();
+        let digits = job.spec.tasks.max(10).ilog10() as usize + 1;
+        let stored = self.replica.runs.get(id).and_then(|chunks| chunks.get(&chunk));
+        let ranges = stored.map_or(0, |c| c.value.done.len());
+        let size = CHUNK_BYTES + (starts + 1) * (START_BYTES + digits) + ranges * (RANGE_BYTES + 2 * digits);
+        size <= self.platform.deployment.state.value_bytes()
+    }
+}
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -23,6 +23,8 @@
     Jobs(Vec<JobId>),
     /// Clearing away what nothing needs any more.
     Tidy,
+    /// Outcomes that follow from others'.
+    Sweep,
 }
 
 impl Purpose {
@@ -34,6 +36,7 @@
             Purpose::Machines(_) => "machines",
             Purpose::Jobs(_) => "jobs",
             Purpose::Tidy => "tidying",
+            Purpose::Sweep => "followers",
         }
     }
 
@@ -70,6 +73,10 @@
         self.pending.values().any(|p| p.purpose == Purpose::Tidy)
     }
 
+    pub fn sweeping(&self) -> bool {
+        self.pending.values().any(|p| p.purpose == Purpose::Sweep)
+    }
+
     /// Of those that wait for the change budget the one that can wait least.
     fn first_queued(&self) -> Option<(Micros, u64)> {
         let queued = self.pending.iter().filter_map(|(ticket, p)| match p.stage {
@@ -125,7 +132,7 @@
             Purpose::Submit(_) | Purpose::Cancel(_) => self.policy.user_patience_ms,
             Purpose::Machines(_) => self.policy.machine_patience_ms,
             Purpose::Jobs(_) => self.policy.batch_patience_ms,
-            Purpose::Tidy => self.policy.tidy_patience_ms,
+            Purpose::Tidy | Purpose::Sweep => self.policy.tidy_patience_ms,
         };
         let latest = self.now() + Micros::from_millis(patience);
         self.txns.next_ticket += 1;
@@ -279,7 +286,7 @@
             Purpose::Cancel(id) => self.cancel_over(id, committed),
             Purpose::Node | Purpose::Seat => self.seat_txn_over(purpose, !committed),
             Purpose::Machines(ids) => self.machines_txn_over(ids),
-            Purpose::Tidy => {}
+            Purpose::Tidy | Purpose::Sweep => {}
             Purpose::Jobs(ids) => {
                 for id in ids {
                     self.job_txn_over(id);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -76,7 +76,7 @@
 
     /// The final state of a job that is over.
     pub(super) fn final_status(&self, id: &JobId) -> Option<JobStatus> {
-        let state = match self.replica.ends.get(id)?.value.outcome {
+        let state = match self.outcome(id)? {
             Outcome::Done => JobState::Done,
             Outcome::Cancelled => JobState::Cancelled,
         };
@@ -101,7 +101,7 @@
         };
         // Without the state service only final states can be told; whoever asks for more hears at
         // once that it can't be now, instead of waiting for a call that will fail.
-        let final_state = known.is_some_and(|id| self.replica.ends.contains_key(id));
+        let final_state = known.is_some_and(|id| self.outcome(id).is_some());
         if !self.sync.done || (!self.reaches_state() && !final_state) {
             return self.answer(waiter, BUSY);
         }
@@ -127,7 +127,7 @@
             return self.tell(waiter, status);
         }
         let spec = submission.spec;
-        let fine = spec.as_ref().is_some_and(|s| self.refusal(s).is_none());
+        let fine = spec.as_ref().is_some_and(|s| self.refusal(s).is_none() && self.knows_awaited(s));
         if self.replica.jobs.contains_key(&id) || !fine {
             // Known, or to be refused unless it is known after all.
             self.users.next.push((waiter, Question::Submit(id, spec.map(Box::new))));
@@ -151,8 +151,8 @@
     /// Takes into the books, as one batch, what waits to be accepted.
     pub(super) fn send_submissions(&mut self) {
         let limits = &self.platform.deployment.state;
-        let room = (limits.value_kb * 1024.0 * VALUE_FILL) as usize;
-        let most = limits.txn_ops * CONDITIONS_PER_WRITE - 1;
+        let room = (limits.least_value_kb() * 1024.0 * VALUE_FILL) as usize;
+        let most = limits.ops() * CONDITIONS_PER_WRITE - 1;
         let accepted = self.clock.wall;
         self.users.batch_at = self.now();
         let mut members: Vec<BatchMember> = Vec::new();
@@ -263,6 +263,10 @@
                         (None, None) => UserAnswer::Malformed,
                         (None, Some(spec)) => match self.refusal(&spec) {
                             Some(answer) => answer,
+                            // The read was fresh: whoever accepted it would have it in the books.
+                            None if !self.knows_awaited(&spec) => {
+                                UserAnswer::CanNeverRun("awaits a job that was never accepted")
+                            }
                             None => {
                                 self.accept(waiter, id, *spec);
                                 continue;
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -2,7 +2,8 @@
 
 use super::{WireError, decode, maybe_number, number};
 use crate::units::{JobId, Micros, Room};
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 
 const MAX_TASKS: u64 = 100_000;
 const MAX_TEXT: usize = 200;
@@ -68,6 +69,20 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default, deserialize_with = "maybe_number", skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any of its tasks starts, each once.
+    #[serde(default, deserialize_with = "job_ids", skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<JobId>,
+}
+
+fn job_ids<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<JobId>, D::Error> {
+    let ids: Option<Vec<String>> = Deserialize::deserialize(d)?;
+    let mut ids = ids.unwrap_or_default();
+    if !ids.iter().all(|id| valid_id(id)) {
+        return Err(D::Error::custom("not a job's id"));
+    }
+    ids.sort_unstable();
+    ids.dedup();
+    Ok(ids.into_iter().map(JobId::from).collect())
 }
 
 impl JobSpec {
@@ -131,7 +146,8 @@
         id: String,
     }
     let id = decode::<OnlyId>(body).ok().filter(|o| valid_id(&o.id)).map(|o| JobId::from(o.id));
-    let spec = decode::<JobSpec>(body).ok().filter(|s| s.check().is_ok());
+    let itself = |s: &JobSpec| id.as_ref().is_some_and(|id| s.awaits.contains(id));
+    let spec = decode::<JobSpec>(body).ok().filter(|s| s.check().is_ok() && !itself(s));
     Submission { id, spec }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -100,6 +100,49 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What some of these become at a moment that nobody announces.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+/// Part of the allowed size that a value is filled to.
+const VALUE_PART: f64 = 0.95;
+
+impl StateLimits {
+    fn next<T: Copy>(&self, of: impl Fn(&NextLimits) -> Option<T>) -> Option<T> {
+        self.next.as_ref().and_then(of)
+    }
+
+    /// Changes in one transaction, now and later.
+    pub fn ops(&self) -> usize {
+        self.next(|n| n.txn_ops).map_or(self.txn_ops, |next| next.min(self.txn_ops))
+    }
+
+    /// Size of a value in KiB, now and later.
+    pub fn least_value_kb(&self) -> f64 {
+        self.next(|n| n.value_kb).map_or(self.value_kb, |next| next.min(self.value_kb))
+    }
+
+    /// Bytes that a value may have, with something to spare.
+    pub fn value_bytes(&self) -> usize {
+        (self.least_value_kb() * 1024.0 * VALUE_PART) as usize
+    }
+
+    pub fn least_rps(&self) -> f64 {
+        self.next(|n| n.rps).map_or(self.rps, |next| next.min(self.rps))
+    }
+
+    pub fn least_write_rps(&self) -> f64 {
+        self.next(|n| n.write_rps).map_or(self.write_rps, |next| next.min(self.write_rps))
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -190,6 +233,8 @@
             ("deployment.state.rps", d.state.rps),
             ("deployment.state.write_rps", d.state.write_rps),
             ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.state.next.rps", d.state.least_rps()),
+            ("deployment.state.next.write_rps", d.state.least_write_rps()),
             ("deployment.cloud.rps", d.cloud.rps),
         ];
         for (field, value) in positive {
@@ -197,11 +242,11 @@
                 return Err(invalid(field, "must be a positive number"));
             }
         }
-        if d.state.txn_ops < 4 {
-            return Err(invalid("deployment.state.txn_ops", "must be at least 4"));
+        if d.state.ops() < 4 {
+            return Err(invalid("deployment.state.txn_ops", "must be at least 4, also in `next`"));
         }
-        if d.state.value_kb < 2.0 {
-            return Err(invalid("deployment.state.value_kb", "must be at least 2"));
+        if d.state.least_value_kb() < 2.0 {
+            return Err(invalid("deployment.state.value_kb", "must be at least 2, also in `next`"));
         }
         if d.quota.fd_limit < 64 {
             return Err(invalid("deployment.quota.fd_limit", "must be at least 64"));
@@ -313,6 +358,11 @@
     /// A job of which no task was ever started goes before all others of its rank after this long; of an array
     /// one task.
     begin_within_ms: u64 = 150000, 1000, 3600000;
+    /// A job that others wait for should be done early enough for them: this multiple of their estimates earlier, as
+    /// estimates are often wrong by half.
+    stage_estimate_factor: f64 = 1.5, 0.0, 100.0;
+    /// And so much for starting them.
+    stage_overhead_ms: u64 = 3000, 0, 600000;
     /// Time one round of decisions may take before it lets other work through.
     round_budget_us: u64 = 4000, 100, 1000000;
     /// Batch work that waits is looked at no more often than this; urgent work at once.
--- a/src/transport/calls.rs
+++ b/src/transport/calls.rs
@@ -44,7 +44,7 @@
             client,
             state: platform.external.state,
             cloud: platform.external.cloud,
-            state_requests: limiter_of(limits.state.rps * part),
+            state_requests: limiter_of(limits.state.least_rps() * part),
             // The leader alone calls it, but for the list of types.
             cloud_requests: limiter_of(limits.cloud.rps * policy.cloud_limit_part),
             state_limit: Duration::from_millis(policy.state_timeout_ms),
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -4,9 +4,10 @@
 use burlhatch::bookkeeping::schema::{Key, Outcome, RunChunk, StartRecord, to_value};
 use burlhatch::coordination::budget::Budget;
 use burlhatch::coordination::lives::{Live, Lives, Phase, Sums};
+use burlhatch::coordination::pipelines::{Pipelines, Urgency};
 use burlhatch::coordination::placement::{Candidate, choose};
 use burlhatch::protocol::state::Event;
-use burlhatch::protocol::user::{JobSpec, Kind};
+use burlhatch::protocol::user::{JobSpec, Kind, Priority};
 use burlhatch::protocol::worker::Why;
 use burlhatch::transport::limits::{Bucket, Class};
 use burlhatch::units::{JobId, MachineId, Micros, Revision, Room};
@@ -273,7 +274,7 @@
 /// spends much more than its rate.
 #[test]
 fn the_change_budget_slows_down_and_keeps_an_equal_part() {
-    let mut budget = Budget::new(50.0, 5, 1.8);
+    let mut budget = Budget::new(50.0, 50.0, 5, 1.8);
     let mut spent = 0;
     for ms in 0..20_000 {
         let now = Micros::from_millis(ms);
@@ -322,3 +323,122 @@
     assert_eq!(Key::parse("other/term"), None);
     assert_eq!(Key::parse("bh/run/wk-1"), None);
 }
+
+/// What happens to jobs of pipelines: one is accepted that awaits some of those before it, or one is over.
+#[derive(Clone, Debug)]
+enum Stage {
+    Accept { awaits: Vec<u8>, priority: u8, due: Option<u16>, span: u8 },
+    End { which: u8, done: bool },
+}
+
+fn stage() -> impl Strategy<Value = Stage> {
+    let accept = (proptest::collection::vec(any::<u8>(), 0..4), 0u8..4, proptest::option::of(500u16..2000), 0u8..50);
+    prop_oneof![
+        accept.prop_map(|(awaits, priority, due, span)| Stage::Accept { awaits, priority, due, span }),
+        (any::<u8>(), any::<bool>()).prop_map(|(which, done)| Stage::End { which, done }),
+    ]
+}
+
+/// A job as the plain model has it: everything is worked out by walking over all jobs.
+struct PlainJob {
+    awaits: Vec<usize>,
+    own: Urgency,
+    span: Micros,
+    over: Option<bool>,
+}
+
+fn plain_over(jobs: &[PlainJob], n: usize) -> Option<bool> {
+    let lost = jobs[n].awaits.iter().any(|b| plain_over(jobs, *b) == Some(false));
+    jobs[n].over.or(lost.then_some(false))
+}
+
+fn plain_waits(jobs: &[PlainJob], n: usize) -> bool {
+    jobs[n].awaits.iter().any(|b| plain_over(jobs, *b) != Some(true))
+}
+
+fn plain_urgency(jobs: &[PlainJob], n: usize) -> Urgency {
+    let later = (n + 1..jobs.len()).filter(|l| jobs[*l].awaits.contains(&n));
+    later.fold(jobs[n].own, |sum, l| {
+        let urgency = plain_urgency(jobs, l);
+        sum.most(Urgency { priority: urgency.priority, due: urgency.due.map(|due| due - jobs[l].span) })
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The kept graph against walks over everything: who waits, who falls with whom, and, as long as nothing is
+    /// over, how urgent each is.
+    #[test]
+    fn pipelines_are_the_plain_walks(stages in proptest::collection::vec(stage(), 1..40)) {
+        let id = |n: usize| JobId::new(&format!("wk-{n}"));
+        let number = |id: &JobId| id.as_str()[3..].parse::<usize>().expect("a number");
+        let mut plain: Vec<PlainJob> = Vec::new();
+        let mut kept = Pipelines::default();
+        let mut nothing_over = true;
+        for stage in stages {
+            match stage {
+                Stage::Accept { awaits, priority, due, span } => {
+                    let count = plain.len();
+                    let mut awaits: Vec<usize> =
+                        if count == 0 { Vec::new() } else { awaits.iter().map(|a| usize::from(*a) % count).collect() };
+                    awaits.sort_unstable();
+                    awaits.dedup();
+                    let priorities = [Priority::Low, Priority::Normal, Priority::High, Priority::Production];
+                    let due = due.map(|due| Micros(u64::from(due)));
+                    let own = Urgency { priority: priorities[usize::from(priority)], due };
+                    let span = Micros(u64::from(span));
+                    plain.push(PlainJob { awaits: awaits.clone(), own, span, over: None });
+                    if plain_over(&plain, count).is_some() {
+                        continue;
+                    }
+                    kept.note(&id(count), own, span);
+                    for before in awaits.iter().filter(|b| plain_over(&plain, **b).is_none()) {
+                        kept.note(&id(*before), plain[*before].own, plain[*before].span);
+                        kept.link(&id(count), &id(*before));
+                    }
+                }
+                Stage::End { which, done } => {
+                    let open: Vec<usize> = (0..plain.len()).filter(|n| plain_over(&plain, *n).is_none()).collect();
+                    // What waits can be cancelled, not done.
+                    let Some(n) = open.get(usize::from(which) % open.len().max(1)).copied() else { continue };
+                    let done = done && !plain_waits(&plain, n);
+                    let waited: Vec<usize> = open.iter().copied().filter(|n| plain_waits(&plain, *n)).collect();
+                    plain[n].over = Some(done);
+                    nothing_over = false;
+                    let mut ready = BTreeSet::new();
+                    let mut lost = BTreeSet::new();
+                    let mut ended = vec![(n, done)];
+                    while let Some((n, done)) = ended.pop() {
+                        for follower in kept.ended(&id(n), done) {
+                            let follower = number(&follower);
+                            if done {
+                                ready.insert(follower);
+                            } else if lost.insert(follower) {
+                                ended.push((follower, false));
+                            }
+                        }
+                    }
+                    let plain_ready: BTreeSet<usize> = waited
+                        .iter()
+                        .copied()
+                        .filter(|n| plain_over(&plain, *n).is_none() && !plain_waits(&plain, *n))
+                        .collect();
+                    let plain_lost: BTreeSet<usize> = open
+                        .iter()
+                        .copied()
+                        .filter(|o| *o != n && plain_over(&plain, *o) == Some(false))
+                        .collect();
+                    prop_assert_eq!(ready, plain_ready);
+                    prop_assert_eq!(lost, plain_lost);
+                }
+            }
+            for n in (0..plain.len()).filter(|n| plain_over(&plain, *n).is_none()) {
+                prop_assert_eq!(kept.waits(&id(n)), plain_waits(&plain, n));
+                if let (true, Some(urgency)) = (nothing_over, kept.urgency(&id(n))) {
+                    prop_assert_eq!(urgency, plain_urgency(&plain, n));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/production.rs
@@ -0,0 +1,175 @@
+//! What the version in production (`production` in `deploy/service.toml`) stores and says, byte for byte, and that
+//! both versions read each other. The bytes were printed by that version: a test added to a checkout of it encoded
+//! these very values with `encode(&to_value(..))` and `bitcode::encode(..)`.
+
+use burlhatch::bookkeeping::Replica;
+use burlhatch::bookkeeping::schema::{
+    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Outcome, RunChunk, Seat,
+    SeatRecord, StartRecord, from_value, to_value,
+};
+use burlhatch::protocol::peer::{Cancelled, CancelledJob, Knows, Relay, Relayed};
+use burlhatch::protocol::user::{JobSpec, Kind, Priority};
+use burlhatch::protocol::{decode, encode};
+use burlhatch::units::{JobId, MachineId, Micros, Term};
+use ciborium::Value;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt::Debug;
+
+const TERM: &str = "1829";
+const SEAT: &str = "a3616f6b68617463686c696e672d306169184d61741829";
+const NODE: &str = "a26169184d6175f5";
+const MACHINE: &str = "a7617302617418296168626738617a61616164f561616f31302e312e302e3233323a393030306178a1616d01";
+const FLEET: &str = "82a7616d686d2d303030323331617302617418296168626738617a61616164f561616f31302e312e302e3233323a39\
+    303030a8616d686d2d303030323332617302617418296168626738617a61616164f561616f31302e312e302e3233323a39303030617861\
+    6b";
+const BATCH: &str = "81b4616a69776b2d3030303431326261741b00060a24181e4000636c6f7465747261696e646372657766766973696f6e\
+    6573686170656561727261796472616e6b687374616e64617264667069656365731065636f726573f948006467707573f90000696d656d\
+    6f72795f6762f954086662756e646c6566696d672d30376770756c6c5f6762fb4018cccccccccccd6568756c6c7381626738686f6e655f\
+    7a6f6e65f466737072656164f5696472696674776f6f64f5686578706563745f73f95b806c73746f775f65766572795f73f94f80667374\
+    6f775f73f94400656475655f73f96308";
+const RUN: &str = "a4616109616482820003820707617381840409686d2d30303032333102617705";
+const DONE: &str = "64646f6e65";
+const CANCELLED: &str = "a2616f6963616e63656c6c65646261741b00060a24181e4000";
+const TOLD: &str = "040206290109776b2d3030303431320000401e18240a060004af01";
+const KNOWS: &str = "01";
+const RELAY: &str = "092f6170692f6a6f627301030639";
+const RELAYED: &str = "f7010104020109";
+
+const AT: Micros = Micros(1_700_000_000_000_000);
+
+fn bytes(hex: &str) -> Vec<u8> {
+    (0..hex.len() / 2).map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).expect("hex")).collect()
+}
+
+/// What production wrote is read here, and what is written here is what production wrote.
+fn both_ways<T: Serialize + DeserializeOwned + PartialEq + Debug>(hex: &str, value: T) {
+    let stored: Value = decode(&bytes(hex)).expect("CBOR");
+    assert_eq!(from_value::<T>(&stored).as_ref(), Some(&value));
+    assert_eq!(encode(&to_value(&value)), bytes(hex));
+}
+
+fn machine(hold: Option<Hold>) -> MachineRecord {
+    MachineRecord {
+        share: 2,
+        term: Term(41),
+        machine_type: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        addr: "10.1.0.232:9000".into(),
+        hold,
+    }
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        class: "train".into(),
+        team: Some("vision".into()),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks: 16,
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 64.5,
+        image: "img-07".into(),
+        image_gb: 6.2,
+        types: Some(vec!["g8".into()]),
+        zone: None,
+        one_zone: false,
+        spread: true,
+        spot: true,
+        estimate_s: 240.0,
+        checkpoint_s: 30.0,
+        save_s: 4.0,
+        deadline_s: Some(900.0),
+        awaits: Vec::new(),
+    }
+}
+
+fn member(spec: JobSpec) -> BatchMember {
+    BatchMember { id: JobId::new("wk-000412"), record: JobRecord { accepted: AT, spec } }
+}
+
+#[test]
+fn records_are_the_same_in_both_versions() {
+    both_ways(TERM, Term(41));
+    both_ways(SEAT, SeatRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41) });
+    both_ways(NODE, NodeRecord { incarnation: 77, unfit: true });
+    both_ways(MACHINE, machine(Some(Hold::Move(1))));
+    let fleet_member = |id, hold| FleetMember { id: MachineId::new(id), record: machine(hold) };
+    both_ways(FLEET, vec![fleet_member("m-000231", None), fleet_member("m-000232", Some(Hold::Doomed))]);
+    both_ways(BATCH, vec![member(spec())]);
+    let starts = vec![StartRecord(4, 9, MachineId::new("m-000231"), 2)];
+    both_ways(RUN, RunChunk { attempts: 9, done: vec![(0, 3), (7, 7)], starts, writer: 5 });
+    both_ways(DONE, EndRecord::done());
+    both_ways(CANCELLED, EndRecord::cancelled(AT));
+}
+
+#[test]
+fn messages_between_controllers_are_the_same_in_both_versions() {
+    let jobs = vec![CancelledJob { id: "wk-000412".into(), at: AT.0, revision: 431 }];
+    let told = Cancelled { share: 2, term: 41, jobs };
+    assert_eq!(bitcode::decode::<Cancelled>(&bytes(TOLD)).expect("told"), told);
+    assert_eq!(bitcode::encode(&told), bytes(TOLD));
+    assert_eq!(bitcode::decode::<Knows>(&bytes(KNOWS)).expect("knows"), Knows { holds: true });
+    assert_eq!(bitcode::encode(&Knows { holds: true }), bytes(KNOWS));
+    let relay = Relay { path: "/api/jobs".into(), post: true, body: vec![1, 2, 3] };
+    assert_eq!(bitcode::decode::<Relay>(&bytes(RELAY)).expect("relay"), relay);
+    assert_eq!(bitcode::encode(&relay), bytes(RELAY));
+    let relayed = Relayed { status: 503, retry_after_s: Some(2), body: vec![9] };
+    assert_eq!(bitcode::decode::<Relayed>(&bytes(RELAYED)).expect("relayed"), relayed);
+    assert_eq!(bitcode::encode(&relayed), bytes(RELAYED));
+}
+
+/// A member of a batch as production declares it: flattened, unknown fields ignored. A batch is written once and
+/// never changed, so what production does not know is not lost by it.
+#[derive(Deserialize)]
+struct ProductionMember {
+    j: JobId,
+    at: Micros,
+    lot: String,
+    pieces: u32,
+    due_s: Option<f64>,
+}
+
+#[test]
+fn production_reads_a_batch_with_what_it_does_not_know() {
+    let awaits = vec![JobId::new("wk-000398"), JobId::new("wk-000405")];
+    let value = to_value(&vec![member(JobSpec { awaits: awaits.clone(), ..spec() })]);
+    let read: Vec<ProductionMember> = value.deserialized().expect("readable");
+    let known = (read[0].j.clone(), read[0].at, read[0].lot.as_str(), read[0].pieces, read[0].due_s);
+    assert_eq!(known, (JobId::new("wk-000412"), AT, "train", 16, Some(900.0)));
+    let read: Vec<BatchMember> = from_value(&value).expect("readable");
+    assert_eq!(read[0].record.spec.awaits, awaits);
+}
+
+/// The books of production as a whole, read here.
+#[test]
+fn a_replica_takes_the_books_of_production() {
+    let mut replica = Replica::default();
+    let id = JobId::new("wk-000412");
+    let keys = [
+        (Key::Term, TERM),
+        (Key::Seat(Seat::Share(2)), SEAT),
+        (Key::Node("hatchling-0".into()), NODE),
+        (Key::Fleet("f1".into()), FLEET),
+        (Key::Machine(MachineId::new("m-000231")), MACHINE),
+        (Key::Batch("b1".into()), BATCH),
+        (Key::Run(id.clone(), 0), RUN),
+        (Key::End(JobId::new("wk-000398")), DONE),
+        (Key::End(JobId::new("wk-000399")), CANCELLED),
+    ];
+    for (n, (key, hex)) in keys.into_iter().enumerate() {
+        let value: Value = decode(&bytes(hex)).expect("CBOR");
+        replica.apply(&key.to_string(), Some(&value), n as u64 + 1);
+    }
+    assert_eq!(replica.term_now(), Term(41));
+    assert_eq!(replica.seats[&Seat::Share(2)].value.owner, "hatchling-0");
+    assert_eq!(replica.machines[&MachineId::new("m-000231")].value.hold, Some(Hold::Move(1)));
+    assert_eq!(replica.machines[&MachineId::new("m-000232")].value.hold, Some(Hold::Doomed));
+    assert_eq!(replica.jobs[&id].record.spec, spec());
+    assert!(replica.has_starts(&id));
+    let outcome = |id: &str| replica.ends[&JobId::new(id)].value.outcome;
+    assert_eq!((outcome("wk-000398"), outcome("wk-000399")), (Outcome::Done, Outcome::Cancelled));
+}
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -67,6 +67,23 @@
     }
 }
 
+#[test]
+fn awaited_jobs_are_read_once_each_and_have_to_be_ids() {
+    let with = |awaits: serde_json::Value| {
+        let mut message = example();
+        message["awaits"] = awaits;
+        submission(&cbor(message))
+    };
+    let spec = with(json!(["wk-000398", "wk-000405", "wk-000398"])).spec.expect("valid");
+    assert_eq!(spec.awaits, [JobId::new("wk-000398"), JobId::new("wk-000405")]);
+    assert_eq!(with(json!(null)).spec, submission(&cbor(example())).spec, "null and missing are one");
+    for bad in [json!("wk-000398"), json!([7]), json!(["wk"]), json!([null]), json!({"a": 1}), json!(["wk-000412"])] {
+        let read = with(bad.clone());
+        assert!(read.spec.is_none(), "{bad}");
+        assert_eq!(read.id, Some(JobId::new("wk-000412")), "a known id is answered all the same");
+    }
+}
+
 #[test]
 fn amounts_out_of_range_are_refused() {
     let cases = [
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -2,6 +2,7 @@
 
 mod cancellations;
 mod meetings;
+mod pipelines;
 mod world;
 
 use burlhatch::coordination::UserAnswer;
--- /dev/null
+++ b/tests/rules/pipelines.rs
@@ -0,0 +1,222 @@
+//! Jobs that wait for others: nothing starts too early, nothing is orphaned, whatever fails meanwhile.
+
+use super::world::{CANCEL_S, LARGE, MS, Place, S, SMALL, Size, World};
+use super::{assert_clean, finish, keeping_idle_machines, ordinary_jobs, seeds};
+use burlhatch::coordination::UserAnswer;
+use burlhatch::protocol::user::{JobState, Kind, Priority};
+use burlhatch::settings::Policy;
+use burlhatch::units::JobId;
+
+fn stage(world: &mut World, number: u64, team: &str, tasks: u32, awaits: &[JobId]) -> JobId {
+    let mut spec = World::spec(Kind::Array, team, tasks, 1.0);
+    spec.awaits = awaits.to_vec();
+    spec.estimate_s = 4.0;
+    world.submit(number, spec)
+}
+
+/// A first stage, two or three that need it, one that needs these, and a last one that is urgent; each of another
+/// team, and so of another share.
+fn pipeline(world: &mut World, number: u64) -> Vec<JobId> {
+    let teams = ["red", "blue", "green"];
+    let first = stage(world, number, teams[world.jobs.len() % 3], 2, &[]);
+    let wide: Vec<JobId> = (0..2 + number / 10 % 2)
+        .map(|n| stage(world, number + 1 + n, teams[n as usize], 3, std::slice::from_ref(&first)))
+        .collect();
+    let join = stage(world, number + 5, "green", 2, &wide);
+    let last = stage(world, number + 6, "red", 2, std::slice::from_ref(&join));
+    if let Some(job) = world.jobs.get_mut(&last) {
+        job.spec.priority = Priority::High;
+        job.spec.deadline_s = Some(60.0);
+        if (number / 10).is_multiple_of(3) {
+            // Some users submit the last only when the others are over.
+            job.submitted += 40 * S;
+        }
+    }
+    let mut all = vec![first];
+    all.extend(wide);
+    all.extend([join, last]);
+    all
+}
+
+fn states(world: &World, ids: &[JobId]) -> Vec<Option<JobState>> {
+    ids.iter().map(|id| world.jobs[id].told).collect()
+}
+
+#[test]
+fn stages_run_one_after_the_other() {
+    let mut world = World::new(70);
+    let all: Vec<Vec<JobId>> = (0..4).map(|n| pipeline(&mut world, 100 + n * 10)).collect();
+    world.run_for(3 * S);
+    for ids in &all {
+        let Some(UserAnswer::Status(status)) = world.ask_fresh(0, &ids[1]) else { panic!("no answer") };
+        assert_eq!((status.state, status.running), (JobState::Queued, Some(0)), "it waits");
+    }
+    finish(&mut world, "stages");
+    for ids in &all {
+        assert!(states(&world, ids).iter().all(|s| *s == Some(JobState::Done)));
+    }
+    // A job may also name one that was over long ago.
+    world.run_for(60 * S);
+    let late = stage(&mut world, 900, "green", 1, &[all[0][0].clone(), all[1][4].clone()]);
+    world.run_for(40 * S);
+    assert_eq!(world.jobs[&late].told, Some(JobState::Done));
+}
+
+/// Cancelled at each stage: what needs the job is withdrawn with it and told so by every controller, what it needs
+/// goes on. So is a job that names a cancelled one when it is submitted, also one withdrawn with another.
+#[test]
+fn what_needs_a_cancelled_job_is_withdrawn_with_it() {
+    for stage_of in 0..4 {
+        let mut world = World::new(71_000 + stage_of as u64);
+        stage(&mut world, 1, "green", 2, &[]);
+        let ids = pipeline(&mut world, 110);
+        world.run_for(2 * S);
+        world.call_off(&ids[stage_of]);
+        world.run_for(2 * S);
+        let later = stage(&mut world, 800, "blue", 1, &[ids[4].clone()]);
+        let unrelated = stage(&mut world, 801, "blue", 1, &[ids[0].clone()]);
+        world.run_for(3 * S);
+        for node in 0..3 {
+            for id in ids[4..].iter().chain([&later]) {
+                let Some(UserAnswer::Status(status)) = world.ask_fresh(node, id) else { panic!("{id}: no answer") };
+                assert_eq!(status.state, JobState::Cancelled, "{id} at {node}");
+            }
+        }
+        finish(&mut world, &format!("cancelled at {stage_of}"));
+        let expected = if stage_of == 0 { JobState::Cancelled } else { JobState::Done };
+        assert_eq!(world.jobs[&unrelated].told, Some(expected));
+        // That follows from the other's outcome, and is written down when there is time for it.
+        world.run_for(60 * S);
+        let left: Vec<String> = world.books().into_iter().filter(|k| k.contains("/batch/")).collect();
+        assert!(left.is_empty(), "left in the books: {left:?}");
+    }
+}
+
+/// Cancellations at the instant at which the job is done: answered with `done`, all after it go on.
+#[test]
+fn cancelled_as_the_job_before_is_done() {
+    for seed in seeds(72, 4) {
+        let mut world = World::new(seed);
+        world.cancel_at_end = 2;
+        for n in 0..8 {
+            pipeline(&mut world, 100 + n * 10);
+        }
+        finish(&mut world, &format!("at the end {seed}"));
+        for (id, job) in &world.jobs {
+            let before = job.spec.awaits.iter().map(|b| world.jobs[b].told);
+            let orphan = before.clone().any(|told| told == Some(JobState::Cancelled));
+            assert!(!orphan || job.told == Some(JobState::Cancelled), "{seed}: {id} outlived what it needs");
+        }
+    }
+}
+
+/// The gap once more, with pipelines: the state service refuses the owner of a share alone while jobs before others
+/// are cancelled through siblings, and then it is away for all for longer than a cancellation may take. Who can't
+/// write down what follows can tell it all the same.
+#[test]
+fn cancelled_while_the_owner_is_refused_and_then_all_are() {
+    for seed in seeds(73, 6) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        let all: Vec<Vec<JobId>> = (0..3).map(|n| pipeline(&mut world, 100 + n * 10)).collect();
+        for ids in &all {
+            for id in &ids[..3] {
+                world.jobs.get_mut(id).expect("submitted").spec.estimate_s = 150.0;
+            }
+        }
+        world.run_for(20 * S);
+        let owner = world.holder(&format!("share/{}", seed % 3)).expect("owned");
+        if seed % 2 == 0 {
+            let peers = move |a: &Place, b: &Place| *a == Place::Node(owner) && matches!(b, Place::Node(_));
+            world.cut(10 * S, true, peers);
+        }
+        for ids in &all {
+            world.call_off(&ids[0]);
+        }
+        world.refuse_node(owner, 14 * S);
+        world.run_for(2 * S);
+        world.state_outage((CANCEL_S + 20) * S);
+        world.run_for((CANCEL_S + 25) * S);
+        assert_clean(&world, &format!("gap {seed}"));
+        finish(&mut world, &format!("gap {seed}"));
+    }
+}
+
+/// Controllers end, one after the other and all, and transactions are late, while stages follow each other and some
+/// are cancelled: what is known to be done is so after a takeover and a restart.
+#[test]
+fn stages_while_controllers_come_and_go() {
+    for seed in seeds(74, 6) {
+        let mut world = World::new(seed);
+        world.report_copies = 10;
+        world.odd_requests = true;
+        ordinary_jobs(&mut world, 12);
+        for n in 0..6 {
+            let ids = pipeline(&mut world, 100 + n * 10);
+            if n % 3 == 2 {
+                let victim = ids[world.pick(4) as usize].clone();
+                world.jobs.get_mut(&victim).expect("submitted").cancel_at = Some(12 * S);
+            }
+        }
+        for round in 0..7 {
+            world.run_for(5 * S);
+            let node = world.pick(3) as usize;
+            match round {
+                1 => world.late_writes(15 * S, 4),
+                2 => (0..3).for_each(|node| world.crash(node, (300 + 900 * node as u64) * MS)),
+                4 => world.state_outage(8 * S),
+                5 => world.refuse_node(node, 9 * S),
+                _ => world.crash(node, 400 * MS),
+            }
+        }
+        finish(&mut world, &format!("stages {seed}"));
+    }
+}
+
+/// A long chain and a wide fan are withdrawn as a whole, within few changes and long before their time is up, though
+/// the state service takes few.
+#[test]
+fn a_long_chain_and_a_wide_fan_are_withdrawn_at_once() {
+    let mut world = World::sized(75, Policy::default(), Size { write_rps: 8.0, ..SMALL });
+    let root = stage(&mut world, 1, "green", 2, &[]);
+    world.jobs.get_mut(&root).expect("submitted").spec.estimate_s = 100.0;
+    let mut ids = vec![root.clone()];
+    for n in 0..30 {
+        let before = ids[ids.len() - 1].clone();
+        ids.push(stage(&mut world, 10 + n, ["red", "blue", "green"][n as usize % 3], 2, &[before]));
+    }
+    for n in 0..60 {
+        ids.push(stage(&mut world, 100 + n, "blue", 2, std::slice::from_ref(&root)));
+    }
+    world.run_for(50 * S);
+    assert!(ids.iter().all(|id| world.jobs[id].accepted), "not all accepted");
+    world.call_off(&root);
+    world.run_for(3 * S);
+    for id in &ids {
+        let Some(UserAnswer::Status(status)) = world.ask_fresh(1, id) else { panic!("{id}: no answer") };
+        assert_eq!(status.state, JobState::Cancelled, "{id}");
+    }
+    finish(&mut world, "chain and fan");
+}
+
+/// The limits drop without notice while arrays with hundreds of tasks run whose books were written under the old
+/// ones: nothing larger is written any more, nothing is lost, and all get done.
+#[test]
+fn limits_of_the_state_service_drop_without_notice() {
+    for seed in seeds(76, 3) {
+        let mut world = World::sized(seed, Policy::default(), Size { machines: 60, capacity: 80, ..LARGE });
+        world.lower_limits_at(25 * S, 2048, 4, 18.0);
+        ordinary_jobs(&mut world, 30);
+        for n in 0..3 {
+            let mut spec = World::spec(Kind::Array, "green", 300, 0.5);
+            spec.estimate_s = 12.0;
+            world.submit(500 + n, spec);
+            pipeline(&mut world, 600 + n * 10);
+        }
+        world.run_for(30 * S);
+        world.crash(seed as usize % 5, 3 * S);
+        for nth in 0..6 {
+            world.kill_machine(nth * 7);
+        }
+        finish(&mut world, &format!("limits {seed}"));
+    }
+}
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -245,6 +245,10 @@
     pub size: Size,
     /// Since when there are no troubles any more.
     calm_since: Option<u64>,
+    /// An answer to a question of a test's own.
+    overheard: Option<UserAnswer>,
+    /// What the controllers' settings say of limits to come.
+    next_limits: String,
 }
 
 impl World {
@@ -288,6 +292,8 @@
             odd_requests: false,
             size,
             calm_since: None,
+            overheard: None,
+            next_limits: String::new(),
         };
         for i in 0..size.nodes {
             let drift = 1.0 + world.rng.random_range(-0.0005..0.0005);
@@ -715,6 +721,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            awaits: Vec::new(),
         }
     }
 
@@ -757,6 +764,11 @@
             if job.submitted > now || now < job.last_asked + S {
                 continue;
             }
+            let awaits = job.spec.awaits.clone();
+            if !awaits.iter().all(|before| self.jobs.get(before).is_none_or(|b| b.accepted)) {
+                continue;
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
             let cancel = job.cancel_at.is_some_and(|at| at <= now) && job.cancelled.is_none() && job.accepted;
             let over = job.told.is_some();
             if !job.accepted || (!over && cancel) || now >= job.last_asked + 5 * S {
@@ -784,10 +796,17 @@
         self.at(250 * MS, Event::Users);
     }
 
+    /// When a job was called off, by its own user or with one that it needs, as `when` tells it of each.
+    fn called_off(&self, id: &JobId, when: impl Fn(&UserJob) -> Option<u64> + Copy) -> Option<u64> {
+        let job = self.jobs.get(id)?;
+        let before = job.spec.awaits.iter().filter_map(|before| self.called_off(before, when));
+        before.chain(when(job)).min()
+    }
+
     fn odd_request(&mut self) {
         let known: Vec<JobId> = self.jobs.iter().filter(|(_, j)| j.accepted).map(|(id, _)| id.clone()).collect();
         let mut spec = World::spec(Kind::Array, "red", 2, 1.0);
-        let what = match self.pick(4) {
+        let what = match self.pick(6) {
             0 if !known.is_empty() => {
                 // A known job has its state, whatever the repeat holds.
                 let id = known[self.pick(known.len() as u64) as usize].clone();
@@ -800,6 +819,10 @@
                 "a task fits no machine"
             }
             2 => {
+                spec.awaits = vec![JobId::new("wk-nobody")];
+                "what it awaits was never accepted"
+            }
+            3 => {
                 spec = World::spec(Kind::Gang, "red", 30, 1.0);
                 "its team's limit is lower"
             }
@@ -811,6 +834,10 @@
     }
 
     fn user_answer(&mut self, node: usize, waiter: u64, answer: UserAnswer) {
+        if waiter == u64::MAX {
+            self.overheard = Some(answer);
+            return;
+        }
         let Some((asked_at, asked)) = self.nodes[node].users.remove(&waiter) else { return };
         let (id, cancels) = match asked {
             Asked::Stranger => {
@@ -829,6 +856,8 @@
             Asked::Submit(id) | Asked::Get(id) => (id, false),
         };
         let now = self.now;
+        let called_off = self.called_off(&id, |job| job.cancel_at.filter(|at| *at <= now));
+        let orphaned = self.called_off(&id, |job| job.cancelled).is_some_and(|at| asked_at > at + CANCEL_S * S);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let mut broken = Vec::new();
         match answer {
@@ -838,7 +867,10 @@
                 if status.state == JobState::Done && job.done_tasks.iter().any(|d| !d) {
                     broken.push(format!("not_done: {id} is called done"));
                 }
-                if status.state == JobState::Cancelled && job.cancel_at.is_none_or(|at| at > now) {
+                if orphaned && matches!(status.state, JobState::Queued | JobState::Running) {
+                    broken.push(format!("orphaned: {id} is still called {:?}", status.state));
+                }
+                if status.state == JobState::Cancelled && called_off.is_none() {
                     broken.push(format!("went_back: {id} was not cancelled by its user"));
                 }
                 if asked_at >= job.told_at && job.told.is_some_and(|told| told != status.state) {
@@ -894,7 +926,7 @@
         match event {
             Event::Restart(i) => {
                 let seed = self.rng.random();
-                let platform = Platform::parse(&settings(i, self.size)).expect("valid settings");
+                let platform = Platform::parse(&(settings(i, self.size) + &self.next_limits)).expect("valid settings");
                 let node = &mut self.nodes[i];
                 if node.core.is_some() {
                     return;
@@ -1049,6 +1081,30 @@
         self.workers.values().flat_map(|w| w.tasks.keys()).filter(|k| k.0 == *id).count()
     }
 
+    /// One controller's answer to a question about a job, after the read that it may need.
+    pub fn ask_fresh(&mut self, node: usize, id: &JobId) -> Option<UserAnswer> {
+        let clock = self.clock(node);
+        let core = self.nodes[node].core.as_mut()?;
+        core.handle(clock, Command::User(u64::MAX, UserRequest::Get(id.clone())));
+        self.overheard = None;
+        for _ in 0..60 {
+            self.run_for(50 * MS);
+            if self.overheard.is_some() {
+                break;
+            }
+        }
+        self.overheard.take()
+    }
+
+    /// From then on the state service takes no larger values and transactions, and fewer changes.
+    pub fn lower_limits_at(&mut self, at: u64, value: usize, ops: usize, write_rps: f64) {
+        self.state.lower = Some((at, value, ops, write_rps));
+        self.next_limits = format!(
+            "[deployment.state.next]\nwrite_rps = {write_rps:?}\nvalue_kb = {}.0\ntxn_ops = {ops}\n",
+            value / 1024
+        );
+    }
+
     pub fn limited(&self) -> u64 {
         self.state.limited
     }
--- a/tests/rules/world/state.rs
+++ b/tests/rules/world/state.rs
@@ -27,6 +27,8 @@
     allowance: f64,
     allowed_at: u64,
     pub limited: u64,
+    /// From when on the largest value, the most changes in a transaction and in a second are so many.
+    pub lower: Option<(u64, usize, usize, f64)>,
 }
 
 /// What a caller hears that gets no answer.
@@ -47,6 +49,11 @@
     /// Whether that many changes are within the limit.
     fn admits(&mut self, now: u64, changes: usize) -> bool {
         let span = (now - self.allowed_at) as f64 / 1e6;
+        if let Some((at, _, _, rate)) = self.lower
+            && now >= at
+        {
+            self.write_rps = rate;
+        }
         self.allowed_at = now;
         self.allowance = (self.allowance + span * self.write_rps).min(self.write_rps);
         if self.allowance < changes as f64 {
@@ -95,8 +102,12 @@
     }
 
     fn txn(&mut self, txn: &Txn) -> TxnOutcome {
-        assert!(txn.writes.len() <= 12, "too many writes in one transaction");
-        assert!(txn.conditions.len() <= 48, "too many conditions in one transaction");
+        let (ops_max, value_max) = match self.lower {
+            Some((at, value, ops, _)) if self.allowed_at >= at => (ops, value),
+            _ => (12, 4096),
+        };
+        assert!(txn.writes.len() <= ops_max, "too many writes in one transaction");
+        assert!(txn.conditions.len() <= ops_max * 4, "too many conditions in one transaction");
         let lost = txn
             .writes
             .iter()
@@ -115,7 +126,7 @@
             match write {
                 Write::Put { key, value, lease } => {
                     let size = serde_json::to_string(value).expect("plain data").len();
-                    assert!(size <= 4096, "value of {key} has {size} bytes");
+                    assert!(size <= value_max, "value of {key} has {size} bytes");
                     self.keys.insert(key.clone(), (value.clone(), self.revision, *lease));
                     self.log.push((self.revision, key.clone(), Some(value.clone())));
                 }
--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -345,6 +345,10 @@
         if let Some((other, _)) = elsewhere {
             found.push(format!("ran_twice: {}/{} runs on {other} and is started on {id}", key.0, key.1));
         }
+        let undone = |before: &&JobId| self.jobs.get(*before).is_none_or(|b| b.done_tasks.iter().any(|d| !d));
+        if let Some(before) = spec.awaits.iter().find(undone) {
+            found.push(format!("too_early: {}/{} starts before {before} is done", key.0, key.1));
+        }
         if cancelled.is_some_and(|at| now > at + CANCEL_S * S) {
             found.push(format!("ran_cancelled: {}/{} starts on {id}", key.0, key.1));
         }
