Submissions that await more than one value can name are stored in pieces

The list goes to keys of its own first, under a name nobody else uses; the job's entry says where it is, on the condition that the first piece still stands. Lists that no job names are cleared away. Test: 700 awaited jobs.

--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -53,6 +53,7 @@
     pub batches: BTreeMap<String, Versioned<Vec<JobId>>>,
     pub runs: HashMap<JobId, BTreeMap<u32, Versioned<RunChunk>>>,
     pub ends: HashMap<JobId, Versioned<EndRecord>>,
+    pub pieces: BTreeMap<String, BTreeMap<u32, Versioned<Vec<JobId>>>>,
     /// Own deletions ahead of `applied`, so that older puts don't bring the keys back.
     removed: HashMap<Key, u64>,
 }
@@ -96,6 +97,7 @@
             Key::Batch(name) => self.batches.get(name).map(|v| v.version),
             Key::Run(id, chunk) => self.runs.get(id).and_then(|r| r.get(chunk)).map(|v| v.version),
             Key::End(id) => self.ends.get(id).map(|v| v.version),
+            Key::Piece(name, number) => self.pieces.get(name).and_then(|p| p.get(number)).map(|v| v.version),
         };
         v.unwrap_or(0)
     }
@@ -158,7 +160,8 @@
                     // in whatever order the two are read.
                     let earlier = self.jobs.get(&member.id).is_some_and(|j| (j.version, &j.batch) < (version, &name));
                     if !earlier {
-                        let known = KnownJob { record: member.record.clone(), batch: name.clone(), version };
+                        let record = self.whole(&member.record);
+                        let known = KnownJob { record, batch: name.clone(), version };
                         self.jobs.insert(member.id.clone(), known);
                         ids.push(member.id.clone());
                     }
@@ -174,6 +177,14 @@
                 }
                 Change::Run(id, chunk)
             }
+            Key::Piece(name, number) => {
+                let pieces = self.pieces.entry(name.clone()).or_default();
+                store(pieces, number, value.and_then(from_value), version);
+                if pieces.is_empty() {
+                    self.pieces.remove(&name);
+                }
+                Change::Nothing
+            }
             Key::End(id) => {
                 // An outcome is written once and never removed.
                 if let Some(end) = value.and_then(from_value) {
@@ -184,6 +195,14 @@
         }
     }
 
+    /// A job's record with all that it awaits. The pieces were in the books before it.
+    fn whole(&self, record: &JobRecord) -> JobRecord {
+        let mut record = record.clone();
+        let pieces = record.pieces.as_ref().and_then(|(name, _)| self.pieces.get(name));
+        record.spec.awaits.extend(pieces.into_iter().flat_map(|p| p.values()).flat_map(|v| v.value.iter().cloned()));
+        record
+    }
+
     /// Works out how a machine stands: its own key precedes its fleet's.
     fn settle_machine(&mut self, id: &MachineId) {
         let of_fleet = || {
--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -41,6 +41,8 @@
     Batch(String),
     Run(JobId, u32),
     End(JobId),
+    /// Jobs that one job awaits, as far as its entry in a batch has no room for them.
+    Piece(String, u32),
 }
 
 impl fmt::Display for Key {
@@ -55,6 +57,7 @@
             Key::Batch(name) => write!(f, "{ROOT}batch/{name}"),
             Key::Run(id, chunk) => write!(f, "{ROOT}run/{id}/{chunk}"),
             Key::End(id) => write!(f, "{ROOT}end/{id}"),
+            Key::Piece(name, number) => write!(f, "{ROOT}awaits/{name}/{number}"),
         }
     }
 }
@@ -71,6 +74,10 @@
             Some(("machine", id)) => Some(Key::Machine(MachineId::new(id))),
             Some(("batch", name)) => Some(Key::Batch(name.to_string())),
             Some(("end", id)) => Some(Key::End(JobId::new(id))),
+            Some(("awaits", rest)) => {
+                let (name, number) = rest.rsplit_once('/')?;
+                Some(Key::Piece(name.to_string(), number.parse().ok()?))
+            }
             Some(("run", rest)) => {
                 let (id, chunk) = rest.rsplit_once('/')?;
                 Some(Key::Run(JobId::new(id), chunk.parse().ok()?))
@@ -159,6 +166,9 @@
     /// Time of day at which the job was accepted.
     #[serde(rename = "at")]
     pub accepted: Micros,
+    /// Where the rest of what it awaits is: a name, and how many keys.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub pieces: Option<(String, u32)>,
     #[serde(flatten)]
     pub spec: JobSpec,
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -60,6 +60,8 @@
     /// What the shares lacked in the last plan, most urgent first.
     need: Vec<Unmet>,
     charters: u64,
+    /// Since when lists of submissions were seen that no job names.
+    unnamed: HashMap<String, Micros>,
 }
 
 /// A machine's room in the plan.
@@ -87,6 +89,8 @@
 /// One in so many machines is returned at a time, so that a short lull doesn't empty the cluster.
 const RETURN_PART: usize = 100;
 const PLAN_EVERY: Micros = Micros::from_millis(500);
+/// A submission's lists are written down some time before the job that names them, but not so long.
+const UNNAMED_SPAN: Micros = Micros::from_millis(60_000);
 const TIDY_EVERY: Micros = Micros::from_millis(2000);
 const LIST_EVERY: Micros = Micros::from_millis(2500);
 const TYPES_EVERY: Micros = Micros::from_millis(60_000);
@@ -399,16 +403,23 @@
             return;
         }
         self.leader.next_tidy = now + TIDY_EVERY;
+        self.note_unnamed();
         let most = self.platform.deployment.state.ops();
         let replica = &self.replica;
         let over = |id: &JobId| replica.ends.contains_key(id) && !replica.runs.contains_key(id);
         let batches = replica.batches.iter().filter(|(_, b)| b.value.iter().all(over));
         let fleets = replica.fleets.iter().filter(|(_, f)| f.value.iter().all(|m| replica.is_gone(&m.id)));
+        let unnamed = self.leader.unnamed.iter().filter(|(_, since)| now.since(**since) >= UNNAMED_SPAN);
+        let pieces = unnamed.flat_map(|(name, _)| {
+            let numbers = replica.pieces.get(name).into_iter().flat_map(|p| p.keys());
+            numbers.map(move |number| Key::Piece(name.clone(), *number))
+        });
         // A note about a machine may go only once no fleet brings the machine back.
         let keys: Vec<Key> = batches
             .map(|(name, _)| Key::Batch(name.clone()))
             .chain(fleets.map(|(name, _)| Key::Fleet(name.clone())))
             .chain(replica.needless_notes().map(|id| Key::Machine(id.clone())))
+            .chain(pieces)
             .take(most)
             .collect();
         if keys.is_empty() {
@@ -423,6 +434,21 @@
         self.submit_txn(draft, Purpose::Tidy);
     }
 
+    /// Lists whose submission came to nothing, or whose job is over and gone.
+    fn note_unnamed(&mut self) {
+        if self.replica.pieces.is_empty() {
+            return self.leader.unnamed.clear();
+        }
+        let now = self.now();
+        let jobs = self.replica.jobs.values();
+        let named: BTreeSet<&String> = jobs.filter_map(|j| j.record.pieces.as_ref().map(|(name, _)| name)).collect();
+        let unnamed: Vec<String> = self.replica.pieces.keys().filter(|n| !named.contains(n)).cloned().collect();
+        self.leader.unnamed.retain(|name, _| unnamed.contains(name));
+        for name in unnamed {
+            self.leader.unnamed.entry(name).or_insert(now);
+        }
+    }
+
     /// The share with the most unmet need, else the one with the least room for its teams.
     fn neediest_share(&mut self, report: &Report, taken_in: &[FleetMember]) -> u32 {
         let cpus = self.types.get(&report.machine_type).map_or(1_000_000, |t| t.room.cpus);
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Purpose {
     Submit(Vec<JobId>),
+    /// Lists of a large submission, under that name.
+    Pieces(String),
     Cancel(JobId),
     Node,
     Seat,
@@ -30,7 +32,7 @@
 impl Purpose {
     fn name(&self) -> &'static str {
         match self {
-            Purpose::Submit(_) => "submissions",
+            Purpose::Submit(_) | Purpose::Pieces(_) => "submissions",
             Purpose::Cancel(_) => "cancellations",
             Purpose::Node | Purpose::Seat => "seats",
             Purpose::Machines(_) => "machines",
@@ -42,7 +44,7 @@
 
     /// A user waits for it.
     fn urgent(&self) -> bool {
-        matches!(self, Purpose::Submit(_) | Purpose::Cancel(_))
+        matches!(self, Purpose::Submit(_) | Purpose::Pieces(_) | Purpose::Cancel(_))
     }
 }
 
@@ -129,7 +131,7 @@
     pub(super) fn submit_txn(&mut self, draft: Draft, purpose: Purpose) {
         let patience = match purpose {
             Purpose::Node | Purpose::Seat => return self.send_txn(draft, purpose),
-            Purpose::Submit(_) | Purpose::Cancel(_) => self.policy.user_patience_ms,
+            Purpose::Submit(_) | Purpose::Pieces(_) | Purpose::Cancel(_) => self.policy.user_patience_ms,
             Purpose::Machines(_) => self.policy.machine_patience_ms,
             Purpose::Jobs(_) => self.policy.batch_patience_ms,
             Purpose::Tidy | Purpose::Sweep => self.policy.tidy_patience_ms,
@@ -236,7 +238,8 @@
             // What was refused for the limit waits until the budget allows it.
             let Some(pending) = self.txns.pending.get_mut(&ticket) else { continue };
             match pending.purpose {
-                Purpose::Node | Purpose::Seat | Purpose::Submit(_) | Purpose::Cancel(_) => self.send_pending(ticket),
+                Purpose::Node | Purpose::Seat => self.send_pending(ticket),
+                Purpose::Submit(_) | Purpose::Pieces(_) | Purpose::Cancel(_) => self.send_pending(ticket),
                 _ => pending.stage = Stage::Queued(now),
             }
         }
@@ -283,6 +286,7 @@
     fn txn_over(&mut self, purpose: &Purpose, committed: bool) {
         match purpose {
             Purpose::Submit(ids) => ids.iter().for_each(|id| self.submit_over(id, committed)),
+            Purpose::Pieces(name) => self.pieces_over(name, committed),
             Purpose::Cancel(id) => self.cancel_over(id, committed),
             Purpose::Node | Purpose::Seat => self.seat_txn_over(purpose, !committed),
             Purpose::Machines(ids) => self.machines_txn_over(ids),
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -27,7 +27,9 @@
     current: Vec<(Waiter, Question)>,
     submits: HashMap<JobId, Vec<Waiter>>,
     /// Submissions that go into the next batch, and by when they should.
-    queue: VecDeque<(Micros, JobId, JobSpec)>,
+    queue: VecDeque<(Micros, BatchMember)>,
+    /// Submissions whose lists are being written down, and transactions that still have to be.
+    large: HashMap<String, (usize, BatchMember)>,
     /// When the last batch left.
     batch_at: Micros,
     cancels: HashMap<JobId, Vec<Waiter>>,
@@ -145,7 +147,70 @@
             return;
         }
         let latest = self.now() + Micros::from_millis(self.policy.user_patience_ms);
-        self.users.queue.push_back((latest, id, spec));
+        let record = JobRecord { accepted: self.clock.wall, pieces: None, spec };
+        let member = BatchMember { id, record };
+        let size = serde_json::to_string(&member).map_or(0, |text| text.len());
+        if size > self.platform.deployment.state.value_bytes() {
+            if member.record.spec.awaits.is_empty() {
+                // Names beyond all measure: no value takes them.
+                for waiter in self.users.submits.remove(&member.id).unwrap_or_default() {
+                    self.answer(waiter, UserAnswer::Malformed);
+                }
+                return;
+            }
+            self.write_pieces(member);
+        } else {
+            self.users.queue.push_back((latest, member));
+        }
+    }
+
+    /// A list too long for one value goes to keys of its own first, under a name that nobody else uses; the job's
+    /// entry then says where it is.
+    fn write_pieces(&mut self, mut member: BatchMember) {
+        let limits = &self.platform.deployment.state;
+        let (ops, bytes) = (limits.ops(), limits.value_bytes());
+        let name = format!("{:x}", self.nonce());
+        let mut lists: Vec<Vec<JobId>> = Vec::new();
+        let mut size = bytes;
+        for id in std::mem::take(&mut member.record.spec.awaits) {
+            // Quotes and a comma.
+            let more = id.as_str().len() + 3;
+            if size + more > bytes {
+                lists.push(Vec::new());
+                size = 2;
+            }
+            size += more;
+            lists.last_mut().into_iter().for_each(|list| list.push(id.clone()));
+        }
+        member.record.pieces = Some((name.clone(), lists.len() as u32));
+        let numbered: Vec<(u32, Vec<JobId>)> = (0..).zip(lists).collect();
+        let parts = numbered.chunks(ops);
+        self.users.large.insert(name.clone(), (parts.len(), member));
+        for part in parts {
+            let mut draft = Draft::default();
+            for (number, list) in part {
+                draft.unchanged(&self.replica, Key::Piece(name.clone(), *number));
+                draft.put(Key::Piece(name.clone(), *number), to_value(list));
+            }
+            self.submit_txn(draft, Purpose::Pieces(name.clone()));
+        }
+    }
+
+    pub(super) fn pieces_over(&mut self, name: &str, committed: bool) {
+        let Some((left, _)) = self.users.large.get_mut(name) else { return };
+        *left -= 1;
+        if committed && *left > 0 {
+            return;
+        }
+        let Some((_, member)) = self.users.large.remove(name) else { return };
+        if committed {
+            let latest = self.now() + Micros::from_millis(self.policy.user_patience_ms);
+            self.users.queue.push_back((latest, member));
+            return;
+        }
+        for waiter in self.users.submits.remove(&member.id).unwrap_or_default() {
+            self.answer(waiter, BUSY);
+        }
     }
 
     /// Takes into the books, as one batch, what waits to be accepted.
@@ -156,14 +221,18 @@
         let accepted = self.clock.wall;
         self.users.batch_at = self.now();
         let mut members: Vec<BatchMember> = Vec::new();
-        let mut size = 0;
-        while let Some((_, id, spec)) = self.users.queue.front() {
-            let member = BatchMember { id: id.clone(), record: JobRecord { accepted, spec: spec.clone() } };
+        let (mut size, mut named) = (0, 0);
+        while let Some((_, member)) = self.users.queue.front() {
+            let mut member = member.clone();
+            member.record.accepted = accepted;
             let more = serde_json::to_string(&member).map_or(room, |text| text.len() + 1);
-            if !members.is_empty() && (size + more > room || members.len() == most) {
+            // Its outcome, and perhaps its first piece.
+            let conditions = 1 + usize::from(member.record.pieces.is_some());
+            if !members.is_empty() && (size + more > room || named + conditions > most) {
                 break;
             }
             size += more;
+            named += conditions;
             members.push(member);
             self.users.queue.pop_front();
         }
@@ -172,6 +241,9 @@
         txn.unchanged(&self.replica, name.clone());
         for member in &members {
             txn.unchanged(&self.replica, Key::End(member.id.clone()));
+            if let Some((name, _)) = &member.record.pieces {
+                txn.unchanged(&self.replica, Key::Piece(name.clone(), 0));
+            }
         }
         txn.put(name, to_value(&members));
         self.send_txn(txn, Purpose::Submit(members.into_iter().map(|m| m.id).collect()));
@@ -183,8 +255,8 @@
         let longest = Micros::from_millis(self.policy.submission_wait_ms);
         let now = self.now();
         while self.users.queue.front().is_some_and(|(latest, ..)| (now + patience).since(*latest) > longest) {
-            let Some((_, id, _)) = self.users.queue.pop_front() else { break };
-            for waiter in self.users.submits.remove(&id).unwrap_or_default() {
+            let Some((_, member)) = self.users.queue.pop_front() else { break };
+            for waiter in self.users.submits.remove(&member.id).unwrap_or_default() {
                 self.answer(waiter, UserAnswer::Unavailable { retry_after_s: 2 });
             }
         }
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -88,7 +88,7 @@
 }
 
 fn member(spec: JobSpec) -> BatchMember {
-    BatchMember { id: JobId::new("wk-000412"), record: JobRecord { accepted: AT, spec } }
+    BatchMember { id: JobId::new("wk-000412"), record: JobRecord { accepted: AT, pieces: None, spec } }
 }
 
 #[test]
--- a/tests/rules/pipelines.rs
+++ b/tests/rules/pipelines.rs
@@ -198,6 +198,33 @@
     finish(&mut world, "chain and fan");
 }
 
+/// A job may await more others than one value can name. Its list is written down before it, in pieces, and cleared
+/// away after it.
+#[test]
+fn a_job_awaits_hundreds_of_others() {
+    let mut world = World::new(77);
+    let root = stage(&mut world, 1, "green", 2, &[]);
+    world.jobs.get_mut(&root).expect("submitted").spec.estimate_s = 200.0;
+    let many: Vec<JobId> =
+        (0..700).map(|n| stage(&mut world, 1000 + n, "green", 1, std::slice::from_ref(&root))).collect();
+    let last = stage(&mut world, 5000, "red", 1, &many);
+    world.run_for(60 * S);
+    assert!(world.jobs[&last].accepted, "not accepted");
+    assert!(world.books().iter().filter(|k| k.contains("/awaits/")).count() >= 2, "in pieces");
+    world.crash(0, S);
+    world.run_for(5 * S);
+    // The last of all is what it waits for, as read back.
+    world.call_off(&many[699]);
+    world.run_for(5 * S);
+    let answer = world.ask_fresh(0, &last);
+    assert!(matches!(&answer, Some(UserAnswer::Status(s)) if s.state == JobState::Cancelled), "{answer:?}");
+    world.call_off(&root);
+    finish(&mut world, "hundreds awaited");
+    world.run_for(300 * S);
+    let left: Vec<String> = world.books().into_iter().filter(|k| k.contains("/awaits/")).collect();
+    assert!(left.is_empty(), "left in the books: {left:?}");
+}
+
 /// The limits drop without notice while arrays with hundreds of tasks run whose books were written under the old
 /// ones: nothing larger is written any more, nothing is lost, and all get done.
 #[test]
