--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -127,6 +127,11 @@
         self.spec.kind == Kind::Gang && (self.done > 0 || !self.done_unrecorded.is_empty())
     }
 
+    /// By itself, or because an urgent job needs it.
+    fn is_urgent(&self) -> bool {
+        self.spec.kind == Kind::Service || self.urgency.priority > Priority::Normal
+    }
+
     fn dirty(&mut self, now: Micros) {
         self.dirty_since.get_or_insert(now);
     }
@@ -301,7 +306,7 @@
             job.live.set_phase(task, Phase::Gone, &mut self.sums);
             job.dirty(now);
         }
-        let patient = job.over.is_none() && job.spec.kind == Kind::Array && job.spec.priority <= Priority::Normal;
+        let patient = job.over.is_none() && job.spec.kind == Kind::Array && !job.is_urgent();
         for machine in touched {
             self.machine_freed(&machine);
             if patient {
@@ -436,7 +441,9 @@
                 continue;
             };
             let since = *job.dirty_since.get_or_insert(now);
-            let latest = since + Micros::from_millis(need.patience_ms(&self.policy));
+            // What an urgent job waits for is over no sooner than its outcome is in the books.
+            let need_soon = if need == Need::Outcome && job.is_urgent() { Need::Urgent } else { need };
+            let latest = since + Micros::from_millis(need_soon.patience_ms(&self.policy));
             // What can wait goes when there is nothing better to do, or with company. Where machines are
             // full batch tasks start one by one as others end; each alone would cost a change.
             let waits = match need {
@@ -673,7 +680,7 @@
 
 impl Need {
     fn of(job: &Job) -> Option<Need> {
-        let urgent = job.spec.kind == Kind::Service || job.spec.priority > Priority::Normal;
+        let urgent = job.is_urgent();
         let finished = job.spec.kind != Kind::Service && job.done + job.done_unrecorded.len() as u32 >= job.spec.tasks;
         let gang_rest = job.over.is_none() && job.gang_done() && job.waiting() > 0;
         if job.live.occupying() == 0 && (job.over.is_some() || finished) || gang_rest {
