--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -431,8 +431,9 @@
             if job.locked || now < job.too_large_until {
                 continue;
             }
-            // Its owner's matter; all are looked at again when the share is taken.
-            if !self.seats.held.contains_key(&Seat::Share(job.share)) {
+            // Its owner's matter; all are looked at again when the share is taken. Swept jobs have nothing in the
+            // books but the outcome that is written with others'.
+            if self.swept.contains(id) || !self.seats.held.contains_key(&Seat::Share(job.share)) {
                 settled.push(id.clone());
                 continue;
             }
--- a/tests/rules/pipelines.rs
+++ b/tests/rules/pipelines.rs
@@ -198,6 +198,47 @@
     finish(&mut world, "chain and fan");
 }
 
+/// An upgrade, one controller after the other, while both versions serve on each other's books: the old one writes
+/// larger values and transactions. One that is still old ends and comes back old, the state service is away for a
+/// while, and jobs are cancelled whose owner is just being replaced. Once all are new pipelines come, and then the
+/// limits drop. (What else the old version was is in its bytes: `production.rs`.)
+#[test]
+fn a_rolling_upgrade_meets_a_crash_an_outage_and_cancellations() {
+    for (seed, trouble) in seeds(78, 6).zip(["crash", "outage", "cancel"].into_iter().cycle()) {
+        let mut world = World::sized(seed, keeping_idle_machines(), Size { machines: 40, capacity: 60, ..LARGE });
+        world.all_old();
+        world.lower_limits_at(70 * S, 2048, 4, 18.0);
+        ordinary_jobs(&mut world, 20);
+        let large: Vec<JobId> = (0..3)
+            .map(|n| {
+                let mut spec = World::spec(Kind::Array, "green", 250, 0.5);
+                spec.estimate_s = 25.0;
+                world.submit(500 + n, spec)
+            })
+            .collect();
+        world.run_for(20 * S);
+        for node in 0..5 {
+            if trouble == "cancel" && node == 2 {
+                world.call_off(&large[1]);
+            }
+            world.upgrade(node);
+            world.run_for(2 * S);
+            if node < 4 && trouble == "crash" {
+                world.crash(4, if node % 2 == 0 { 300 * MS } else { 4 * S });
+            }
+            if node == 3 && trouble == "outage" {
+                world.state_outage(7 * S);
+            }
+            world.run_for(6 * S);
+        }
+        world.run_for(4 * S);
+        for n in 0..4 {
+            pipeline(&mut world, 700 + n * 10);
+        }
+        finish(&mut world, &format!("upgrade, {trouble} {seed}"));
+    }
+}
+
 /// A job may await more others than one value can name. Its list is written down before it, in pieces, and cleared
 /// away after it.
 #[test]
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -21,7 +21,7 @@
 use rand::{Rng, SeedableRng};
 use state::State;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use worker::Worker;
 
@@ -249,6 +249,8 @@
     overheard: Option<UserAnswer>,
     /// What the controllers' settings say of limits to come.
     next_limits: String,
+    /// Controllers that don't read them yet, as the version before did not.
+    old: BTreeSet<usize>,
 }
 
 impl World {
@@ -294,6 +296,7 @@
             calm_since: None,
             overheard: None,
             next_limits: String::new(),
+            old: BTreeSet::new(),
         };
         for i in 0..size.nodes {
             let drift = 1.0 + world.rng.random_range(-0.0005..0.0005);
@@ -926,7 +929,8 @@
         match event {
             Event::Restart(i) => {
                 let seed = self.rng.random();
-                let platform = Platform::parse(&(settings(i, self.size) + &self.next_limits)).expect("valid settings");
+                let next = if self.old.contains(&i) { "" } else { &self.next_limits };
+                let platform = Platform::parse(&(settings(i, self.size) + next)).expect("valid settings");
                 let node = &mut self.nodes[i];
                 if node.core.is_some() {
                     return;
@@ -1096,6 +1100,17 @@
         self.overheard.take()
     }
 
+    /// All controllers are of the version before: they know nothing of limits to come, and write as much as they may.
+    pub fn all_old(&mut self) {
+        self.old = (0..self.size.nodes).collect();
+    }
+
+    /// One controller is killed and comes back as the new version.
+    pub fn upgrade(&mut self, node: usize) {
+        self.old.remove(&node);
+        self.crash(node, 4 * S);
+    }
+
     /// From then on the state service takes no larger values and transactions, and fewer changes.
     pub fn lower_limits_at(&mut self, at: u64, value: usize, ops: usize, write_rps: f64) {
         self.state.lower = Some((at, value, ops, write_rps));
