--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -141,7 +141,7 @@
     /// Share that looks after a job; the same on every controller. A team's jobs stay together, so
     /// that its limit and guarantee can be kept; one that has neither is parted by job where most shares
     /// would stand idle otherwise.
-    pub(super) fn share_of(&self, team: Option<&str>, id: &JobId) -> u32 {
+    fn share_of(&self, team: Option<&str>, id: &JobId) -> u32 {
         let shares = self.shares();
         let teams = &self.platform.deployment.teams;
         let parts = self.platform.deployment.parts_by_job();
@@ -401,7 +401,7 @@
             for task in booked {
                 job.live.set_phase(task, Phase::Recorded, &mut self.sums);
                 if let Some(live) = job.live.get_mut(task) {
-                    (live.sent, live.seq, live.told) = (true, 0, None);
+                    (live.sent, live.seq) = (true, 0);
                     live.stop = over.map(|_| 0.0);
                 }
             }
--- a/src/coordination/lives.rs
+++ b/src/coordination/lives.rs
@@ -47,13 +47,11 @@
     /// Newest message of the worker that it might not yet have answered a command of ours to.
     pub seq: u64,
     pub running_since: Option<Micros>,
-    /// When a start command first left in an answer, and how many have since.
-    pub told: Option<(Micros, u32)>,
 }
 
 impl Live {
     pub fn new(attempt: u64, machine: MachineId, session: u64, phase: Phase) -> Live {
-        Live { attempt, machine, session, phase, stop: None, sent: false, seq: 0, running_since: None, told: None }
+        Live { attempt, machine, session, phase, stop: None, sent: false, seq: 0, running_since: None }
     }
 
     pub fn phase(&self) -> Phase {
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -117,12 +117,4 @@
         }
         followers
     }
-
-    pub fn len(&self) -> usize {
-        self.nodes.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.nodes.is_empty()
-    }
 }
