Ask a machine directly when messages of its are missing between two reports

A worker that did not hear an answer tries other controllers, and its numbers show it: it is asked directly then, and the rule for deaf machines goes on from there.

Ruled out: too many deaf machines at once, a machine in doubt.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -118,7 +118,7 @@
     direct_token: Term,
     /// Newest message's session and number when it was sent.
     direct_after: (u64, u64),
-    /// Its last report was not newer than the one before.
+    /// Its last report was not newer than the one before, or messages between the two are missing.
     ask: bool,
     push: bool,
     /// Not before then: a report may come first, whose answer says it without a message of its own.
@@ -411,6 +411,9 @@
         if straight && !relayed && session == report.session && report.seq == seq + 1 {
             machine.hears(machine.answered);
         }
+        // It said something since that did not reach us: perhaps it did not hear our last answer, and it may be that
+        // nothing reaches it. What waits for its next report would never tell.
+        machine.ask |= report.session == machine.session && report.seq > machine.seq + 1;
         machine.checkin = (report.session, report.seq, !relayed);
         machine.reported = now;
         self.take_report(&report, true);
