--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -4,5 +4,5 @@
 pub mod replica;
 pub mod schema;
 
-pub use replica::{Change, Replica};
+pub use replica::{Change, Replica, Versioned};
 pub use schema::{Key, MachineRecord, Outcome, RunChunk, Seat, SeatRecord, StartRecord};
--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -87,6 +87,20 @@
     }
 }
 
+/// Version of the rules by which a controller reads and writes records. Controllers from before it was announced
+/// leave it out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RecordVersion(pub u32);
+
+impl RecordVersion {
+    /// Not announced.
+    pub const FIRST: RecordVersion = RecordVersion(0);
+
+    fn is_first(&self) -> bool {
+        *self == RecordVersion::FIRST
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeatRecord {
     #[serde(rename = "o")]
@@ -96,6 +110,9 @@
     pub incarnation: u64,
     #[serde(rename = "t")]
     pub term: Term,
+    /// The owner's.
+    #[serde(rename = "v", default, skip_serializing_if = "RecordVersion::is_first")]
+    pub version: RecordVersion,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +122,8 @@
     /// It can't reach the machines and should not be given shares.
     #[serde(rename = "u", default)]
     pub unfit: bool,
+    #[serde(rename = "v", default, skip_serializing_if = "RecordVersion::is_first")]
+    pub version: RecordVersion,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -1,15 +1,13 @@
-//! Jobs, their starts, and writing both down.
+//! Jobs and their starts, kept in line with the replica and with what machines report.
 
 use super::Core;
 use super::lives::{Live, Lives, Phase};
 use super::pipelines::Urgency;
-use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
-use crate::bookkeeping::schema::{EndRecord, JobRecord, Key, Outcome, RunChunk, Seat, StartRecord, to_value};
+use crate::bookkeeping::schema::{JobRecord, Outcome, RunChunk, StartRecord};
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::protocol::worker::Why;
-use crate::settings::Policy;
 use crate::units::{JobId, MachineId, Micros, Room};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 pub(super) struct Job {
@@ -32,7 +30,7 @@
     /// Since when something waits to be taken out of the books.
     pub dirty_since: Option<Micros>,
     /// Since when the books lack that tasks are done.
-    progress_since: Option<Micros>,
+    pub progress_since: Option<Micros>,
     pub over: Option<Outcome>,
     pub recorded: bool,
     pub preempting_until: Micros,
@@ -123,12 +121,12 @@
 
     /// A gang completes as a whole: one task done means that all are, also those whose machine was
     /// lost before it could say so.
-    fn gang_done(&self) -> bool {
+    pub fn gang_done(&self) -> bool {
         self.spec.kind == Kind::Gang && (self.done > 0 || !self.done_unrecorded.is_empty())
     }
 
     /// By itself, or because an urgent job needs it.
-    fn is_urgent(&self) -> bool {
+    pub fn is_urgent(&self) -> bool {
         self.spec.kind == Kind::Service || self.urgency.priority > Priority::Normal
     }
 
@@ -413,302 +411,4 @@
             self.note_deadline(&id);
         }
     }
-
-    /// Jobs whose books are to be brought up to date, those that can wait least first, and until
-    /// when each may wait for others when the change budget is short.
-    pub(super) fn due_records(&mut self) -> Vec<(Micros, u32, JobId)> {
-        let now = self.now();
-        let delay = Micros::from_millis(self.policy.record_delay_ms);
-        let batch_delay = Micros::from_millis(self.policy.batch_delay_ms);
-        let idle = self.budget.is_idle(now);
-        let mut due = Vec::new();
-        let mut settled = Vec::new();
-        for id in &self.sums.touched {
-            let Some(job) = self.jobs.get_mut(id) else {
-                settled.push(id.clone());
-                continue;
-            };
-            if job.locked || now < job.too_large_until {
-                continue;
-            }
-            // Its owner's matter; all are looked at again when the share is taken. Swept jobs have nothing in the
-            // books but the outcome that is written with others'.
-            if self.swept.contains(id) || !self.seats.held.contains_key(&Seat::Share(job.share)) {
-                settled.push(id.clone());
-                continue;
-            }
-            let Some(need) = Need::of(job) else {
-                settled.push(id.clone());
-                continue;
-            };
-            let since = *job.dirty_since.get_or_insert(now);
-            // What an urgent job waits for is over no sooner than its outcome is in the books.
-            let need_soon = if need == Need::Outcome && job.is_urgent() { Need::Urgent } else { need };
-            let latest = since + Micros::from_millis(need_soon.patience_ms(&self.policy));
-            // What can wait goes when there is nothing better to do, or with company. Where machines are
-            // full batch tasks start one by one as others end; each alone would cost a change.
-            let waits = match need {
-                Need::Progress => now.since(since) < delay || (!idle && now < latest),
-                Need::Batch => !idle && now.since(since) < batch_delay,
-                Need::Urgent | Need::Outcome => false,
-            };
-            if waits {
-                continue;
-            }
-            due.push((latest, job.share, id.clone()));
-        }
-        for id in settled {
-            self.sums.touched.remove(&id);
-        }
-        due.sort();
-        due
-    }
-
-    /// Writes down what was decided and seen about the first job of `due`, and about as many of the
-    /// next ones as fit the same transaction.
-    pub(super) fn record(&mut self, due: &mut VecDeque<(Micros, u32, JobId)>) {
-        let limits = &self.platform.deployment.state;
-        let ops_max = limits.ops();
-        // Near the limit the service rather refuses large transactions than small ones.
-        let enough = ((limits.write_rps * self.policy.txn_part) as usize).clamp(4, ops_max);
-        let Some(share) = due.front().map(|(_, share, _)| *share) else { return };
-        let seat = Seat::Share(share);
-        let mut draft = Draft::default();
-        let mut ids: Vec<JobId> = Vec::new();
-        while due.front().is_some_and(|(_, s, _)| *s == share) {
-            let Some((_, _, id)) = due.pop_front() else { break };
-            let what = self.jobs.get(&id).and_then(Need::of).map_or("nothing", Need::name);
-            let part = self.job_part(&id, seat, ops_max);
-            self.budget.count(what, part.txn.writes.len());
-            if part.txn.writes.is_empty() {
-                self.job_txn_over(&id);
-                continue;
-            }
-            let writes = draft.txn.writes.len() + part.txn.writes.len();
-            let conditions = draft.txn.conditions.len() + part.txn.conditions.len();
-            if !ids.is_empty() && (writes > ops_max || conditions > ops_max * CONDITIONS_PER_WRITE) {
-                self.send_txn(std::mem::take(&mut draft), Purpose::Jobs(std::mem::take(&mut ids)));
-            }
-            for condition in part.txn.conditions {
-                if !draft.txn.conditions.contains(&condition) {
-                    draft.txn.conditions.push(condition);
-                }
-            }
-            draft.txn.writes.extend(part.txn.writes);
-            ids.push(id);
-            if draft.txn.writes.len() >= enough {
-                break;
-            }
-        }
-        if !ids.is_empty() {
-            self.send_txn(draft, Purpose::Jobs(ids));
-        }
-    }
-
-    /// The part of a transaction that brings one job's books up to date. Locks the job.
-    fn job_part(&mut self, id: &JobId, seat: Seat, ops_max: usize) -> Draft {
-        let writer = self.nonce();
-        let now = self.now();
-        let progress_patience = Micros::from_millis(self.policy.progress_patience_ms);
-        let value_max = self.platform.deployment.state.value_bytes();
-        let mut draft = Draft::default();
-        let Some(job) = self.jobs.get_mut(id) else { return draft };
-        job.locked = true;
-        job.dirty_since = None;
-        draft.unchanged(&self.replica, Key::Seat(seat));
-        let empty = BTreeMap::new();
-        let held = self.replica.runs.get(id).unwrap_or(&empty);
-        let mut chunks: BTreeMap<u32, RunChunk> = BTreeMap::new();
-        let mut machines: BTreeSet<MachineId> = BTreeSet::new();
-        // Besides the machines: the seat, the outcome, and each chunk written.
-        let conditions_max = ops_max * CONDITIONS_PER_WRITE - 2;
-        let gang_attempt = held.values().map(|c| c.value.attempts).max().unwrap_or(0) + 1;
-        let mut left_over = false;
-        let mut dropped: Vec<u32> = Vec::new();
-        let gang_done = job.gang_done();
-        let size = self.chunk_tasks;
-        // Chunks that lack nothing but tasks done are left for a while when others of the job press.
-        let all = matches!(Need::of(job), None | Some(Need::Outcome | Need::Progress))
-            || job.progress_since.is_some_and(|since| now.since(since) >= progress_patience);
-        let pressing = |l: &Live| l.phase() == Phase::Proposed || is_lost(l);
-        let press: BTreeSet<u32> = job.live.iter().filter(|(_, l)| pressing(l)).map(|(task, _)| task / size).collect();
-        if all {
-            job.progress_since = None;
-        }
-        let changed: Vec<u32> = job
-            .live
-            .iter()
-            .filter(|(task, l)| pressing(l) || (!l.occupies() && (all || press.contains(&(task / size)))))
-            .map(|(task, _)| task)
-            .collect();
-        for task in changed {
-            let Some(live) = job.live.get_mut(task) else { continue };
-            let number = task / size;
-            let full = chunks.len() + 2 > ops_max || machines.len() + chunks.len() + 3 > conditions_max;
-            if full && !chunks.contains_key(&number) {
-                left_over = true;
-                continue;
-            }
-            if live.phase() == Phase::Proposed {
-                // Its machine may have been put on hold since, and an ended job starts nothing.
-                let usable = self.replica.machines.get(live.machine()).is_some_and(|m| m.value.hold.is_none());
-                if !usable || job.over.is_some() {
-                    dropped.push(task);
-                    continue;
-                }
-                if !machines.contains(live.machine()) && machines.len() + chunks.len() + 2 > conditions_max {
-                    dropped.push(task);
-                    continue;
-                }
-                machines.insert(live.machine().clone());
-            }
-            let chunk =
-                chunks.entry(number).or_insert_with(|| held.get(&number).map(|c| c.value.clone()).unwrap_or_default());
-            match live.phase() {
-                Phase::Proposed => {
-                    live.attempt = match job.spec.kind {
-                        Kind::Gang => gang_attempt,
-                        _ => chunk.attempts + 1,
-                    };
-                    chunk.attempts = live.attempt;
-                    chunk.starts.push(StartRecord(task, live.attempt, live.machine().clone(), live.session));
-                }
-                phase => {
-                    chunk.starts.retain(|s| s.0 != task);
-                    if phase == Phase::Ended(Why::Done) || gang_done {
-                        chunk.mark_done(task);
-                    }
-                }
-            }
-        }
-        if gang_done {
-            for task in job.redo.iter().copied().chain(job.fresh_from..job.spec.tasks) {
-                let number = task / size;
-                let full = chunks.len() + 2 > ops_max || machines.len() + chunks.len() + 3 > conditions_max;
-                if full && !chunks.contains_key(&number) {
-                    left_over = true;
-                    continue;
-                }
-                let held = || held.get(&number).map(|c| c.value.clone()).unwrap_or_default();
-                chunks.entry(number).or_insert_with(held).mark_done(task);
-            }
-        }
-        for task in dropped {
-            job.live.remove(task, &mut self.sums);
-            job.redo.insert(task);
-        }
-        if left_over {
-            job.dirty_since = Some(Micros::ZERO);
-        }
-        let end = Key::End(id.clone());
-        let done: u32 = held
-            .iter()
-            .map(|(n, c)| chunks.get(n).map_or(c.value.done_count(), RunChunk::done_count))
-            .chain(chunks.iter().filter(|(n, _)| !held.contains_key(n)).map(|(_, c)| c.done_count()))
-            .sum();
-        let finishes = job.over.is_none() && job.spec.kind != Kind::Service && done >= job.spec.tasks;
-        let no_starts =
-            held.iter().all(|(n, c)| chunks.get(n).map_or(c.value.starts.is_empty(), |c| c.starts.is_empty()))
-                && chunks.values().all(|c| c.starts.is_empty());
-        if job.over.is_none() {
-            draft.unchanged(&self.replica, end.clone());
-        }
-        if finishes {
-            draft.put(end, to_value(&EndRecord::done()));
-        }
-        let all_chunks: BTreeSet<u32> = held.keys().chain(chunks.keys()).copied().collect();
-        if (finishes || job.over.is_some()) && no_starts && !left_over {
-            // Over and nothing left of it: clear away. The outcome stays, and so does the job's
-            // entry in its batch until all of that are over.
-            let room = ops_max - draft.txn.writes.len();
-            let stored: Vec<u32> = all_chunks.iter().copied().filter(|n| held.contains_key(n)).collect();
-            for n in stored.iter().take(room) {
-                draft.unchanged(&self.replica, Key::Run(id.clone(), *n));
-                draft.delete(Key::Run(id.clone(), *n));
-            }
-            return draft;
-        }
-        // Written under a larger limit, or with more done in between than could be foreseen: such a chunk waits until
-        // enough of its starts have ended. What else there is goes on.
-        let too_large = |chunk: &RunChunk| serde_json::to_string(chunk).map_or(0, |text| text.len()) > value_max;
-        let before = chunks.len();
-        chunks.retain(|_, chunk| !too_large(chunk));
-        if chunks.len() < before {
-            tracing::debug!(job = %id, "a part of its books is larger than may be written now");
-            job.too_large_until = now + TOO_LARGE_PAUSE;
-            job.dirty_since = Some(Micros::ZERO);
-            if finishes {
-                // The outcome goes with the record of its last tasks or not at all.
-                return Draft::default();
-            }
-        }
-        for machine in machines {
-            draft.unchanged(&self.replica, Key::Machine(machine));
-        }
-        for (number, mut chunk) in chunks {
-            chunk.writer = writer;
-            draft.unchanged(&self.replica, Key::Run(id.clone(), number));
-            draft.put(Key::Run(id.clone(), number), to_value(&chunk));
-        }
-        draft
-    }
-}
-
-/// A job whose books are too large to be written is looked at again after so long.
-const TOO_LARGE_PAUSE: Micros = Micros::from_millis(500);
-
-/// Whether its task has to start once more.
-fn is_lost(live: &Live) -> bool {
-    match live.phase() {
-        Phase::Gone => true,
-        Phase::Ended(why) => why != Why::Done,
-        _ => false,
-    }
-}
-
-/// What a job's books lack, the most pressing of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Need {
-    /// A start of urgent work, or a service that is down until a lost place is out of the books.
-    Urgent,
-    /// Its outcome, which its user waits for.
-    Outcome,
-    /// A start, or a lost place, of batch work.
-    Batch,
-    /// Tasks done while others go on; nobody waits for it.
-    Progress,
-}
-
-impl Need {
-    fn of(job: &Job) -> Option<Need> {
-        let urgent = job.is_urgent();
-        let finished = job.spec.kind != Kind::Service && job.done + job.done_unrecorded.len() as u32 >= job.spec.tasks;
-        let gang_rest = job.over.is_none() && job.gang_done() && job.waiting() > 0;
-        if job.live.occupying() == 0 && (job.over.is_some() || finished) || gang_rest {
-            return Some(Need::Outcome);
-        }
-        // Tasks done press in no job; taken for urgent they'd be looked at in vain in every round.
-        if job.live.proposed() > 0 || (job.live.settled() > 0 && job.live.values().any(is_lost)) {
-            return Some(if urgent { Need::Urgent } else { Need::Batch });
-        }
-        (job.live.settled() > 0 || job.dirty_since == Some(Micros::ZERO)).then_some(Need::Progress)
-    }
-
-    fn name(self) -> &'static str {
-        match self {
-            Need::Urgent => "urgent starts",
-            Need::Outcome => "outcomes",
-            Need::Batch => "batch starts",
-            Need::Progress => "progress",
-        }
-    }
-
-    fn patience_ms(self, policy: &Policy) -> u64 {
-        match self {
-            Need::Urgent => policy.urgent_patience_ms,
-            Need::Outcome => policy.outcome_patience_ms,
-            Need::Batch => policy.batch_patience_ms,
-            Need::Progress => policy.progress_patience_ms,
-        }
-    }
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,9 +1,4 @@
-//! The leader's work: takes machines into the books, shifts free ones between shares, rents and
-//! returns.
-//!
-//! A machine changes hands in two writes. The first puts it on hold: starts are recorded under
-//! the condition that its record is unchanged, so once the replica has reached that revision it
-//! shows every start there can be. Only with none left does the second write follow.
+//! The leader's work: takes machines into the books, plans which share gets which, rents and returns.
 
 use super::jobs::Job;
 use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
@@ -304,7 +299,7 @@
         }
         self.leader.deleted.retain(|_, at| now.since(*at) < Micros::from_millis(600_000));
         self.adopt();
-        self.settle_holds();
+        self.delete_held();
         self.give_up_boots();
         self.tidy();
         if now >= self.leader.next_plan && self.leader.listed_once && !self.types.is_empty() {
@@ -500,52 +495,23 @@
             .unwrap_or(0)
     }
 
-    /// Machines on hold with nothing recorded on them go where they were meant to.
-    fn settle_holds(&mut self) {
-        let mut gone = Vec::new();
-        let mut moves = Vec::new();
-        let mut taken = Vec::new();
+    /// Machines that are to be returned are deleted: the lost ones at once, others with nothing recorded on them.
+    fn delete_held(&mut self) {
+        let mut ids = Vec::new();
         for (id, held) in &self.replica.machines {
-            let Some(hold) = held.value.hold else { continue };
             if self.leader.deleting.contains(id) {
                 continue;
             }
-            // Every start there can be is visible from the hold's revision on.
-            let visible = self.replica.applied.0 >= held.version;
-            let empty = visible && self.sums.is_empty(id);
-            match hold {
-                Hold::Doomed => gone.push(id.clone()),
-                Hold::Retire if empty => gone.push(id.clone()),
-                Hold::Move(to) if empty => moves.push((id.clone(), to)),
-                // Its owner was faster; it may keep it.
-                Hold::Move(_) if visible => taken.push(id.clone()),
-                Hold::Retire | Hold::Move(_) | Hold::Gone => {}
-            }
-        }
-        self.delete(gone);
-        for id in taken {
-            self.write_machine(&id, |record| record.hold = None);
-        }
-        moves.retain(|(id, _)| self.machines.get(id).is_none_or(|m| !m.writing));
-        moves.truncate(self.platform.deployment.state.ops() - 1);
-        if moves.is_empty() {
-            return;
-        }
-        let term = Term(self.replica.term_now().0 + 1);
-        let mut draft = Draft::default();
-        draft.unchanged(&self.replica, Key::Term);
-        draft.unchanged(&self.replica, Key::Seat(Seat::Leader));
-        draft.put(Key::Term, to_value(&term));
-        let mut ids = Vec::new();
-        for (id, to) in moves {
-            let Some(held) = self.replica.machines.get(&id) else { continue };
-            let record = MachineRecord { share: to, term, hold: None, ..held.value.clone() };
-            draft.unchanged(&self.replica, Key::Machine(id.clone()));
-            draft.put(Key::Machine(id.clone()), to_value(&record));
-            self.machines.entry(id.clone()).or_default().writing = true;
-            ids.push(id);
+            // The hold is seen by whoever records starts. One that crosses with it is lost with the machine, and
+            // starts again elsewhere.
+            let empty = self.replica.applied.0 >= held.version && self.sums.is_empty(id);
+            match held.value.hold {
+                Some(Hold::Doomed) => ids.push(id.clone()),
+                Some(Hold::Retire) if empty => ids.push(id.clone()),
+                _ => {}
+            }
         }
-        self.submit_txn(draft, Purpose::Machines(ids));
+        self.delete(ids);
     }
 
     fn give_up_boots(&mut self) {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -816,6 +816,7 @@
         self.retire_faulty(&ours);
         self.drain_retired(&ours);
         self.leave_noticed(&ours);
+        self.move_machines();
     }
 
     /// A worker whose lease has surely run out has killed its tasks. Only our answers can have
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,14 +10,18 @@
 mod leader;
 pub mod lives;
 mod machines;
+mod moves;
 pub mod pipelines;
 pub mod placement;
 mod reads;
+mod records;
 mod seats;
 mod stages;
 mod txns;
 mod users;
+pub mod versions;
 
+use crate::bookkeeping::schema::RecordVersion;
 use crate::bookkeeping::{Change, Replica, schema};
 use crate::protocol::cloud::{MachineList, MachineNames, MachineType, MachineTypes, Rental};
 use crate::protocol::peer::{Cancelled, Knows};
@@ -312,6 +316,8 @@
     /// Something urgent has come since the last pass began.
     urgent_pass: bool,
     leader: leader::Leader,
+    /// The oldest version of the rules for stored records among the controllers alive.
+    oldest_version: Option<RecordVersion>,
     next_call: u64,
     next_nonce: u64,
 }
@@ -374,6 +380,7 @@
             pass_began: Micros::ZERO,
             urgent_pass: false,
             leader: leader::Leader::default(),
+            oldest_version: None,
             next_call: 1,
             next_nonce: 1,
         }
@@ -470,6 +477,27 @@
         self.clock.steady
     }
 
+    /// Version of the rules for stored records that this controller follows.
+    fn record_version(&self) -> RecordVersion {
+        RecordVersion(self.policy.record_version)
+    }
+
+    /// A controller has come or gone: tells when the oldest one's version is another than before.
+    fn versions_changed(&mut self) {
+        let oldest = versions::oldest(&self.replica);
+        if oldest == self.oldest_version {
+            return;
+        }
+        let (before, own) = (self.oldest_version, self.record_version());
+        self.oldest_version = oldest;
+        let Some(oldest) = oldest else { return };
+        if before.is_some_and(|before| oldest < before) && oldest < own {
+            tracing::warn!(oldest = oldest.0, own = own.0, "a controller with older rules for records has come up");
+        } else {
+            tracing::info!(oldest = oldest.0, own = own.0, "rules for records that all controllers know");
+        }
+    }
+
     fn nonce(&mut self) -> u64 {
         self.next_nonce += 1;
         // Unique among processes by the incarnation's upper bits, within one by the count.
@@ -487,7 +515,8 @@
                     self.job_changed(&id);
                     self.job_over(&id);
                 }
-                Change::Node(_) | Change::Nothing => {}
+                Change::Node(_) => self.versions_changed(),
+                Change::Nothing => {}
             }
         }
     }
--- /dev/null
+++ b/src/coordination/moves.rs
@@ -0,0 +1,107 @@
+//! Machines moving from one share to another.
+//!
+//! A machine moves in two writes. In the first the leader asks for it: the machine is put on hold, so that nothing more
+//! starts there. The second gives it to the other share under a new term, above any that its last commands carried, and
+//! is safe only if no start can be recorded there any more. Only the holder of a share records starts on its machines,
+//! so the holder makes the second write, once it knows of no start there, not even one on its way to the state service.
+//! That write is conditional on its lease on the share, as its starts are.
+//!
+//! Next to controllers of the first record version the leader makes the second write, as that version expects; see
+//! [`super::versions`].
+
+use super::Core;
+use super::txns::{Draft, Purpose};
+use super::versions::{Mover, mover};
+use crate::bookkeeping::schema::{Hold, Key, MachineRecord, RecordVersion, Seat, to_value};
+use crate::units::{MachineId, Term};
+use std::collections::BTreeMap;
+
+/// Machines that are to leave a share.
+#[derive(Default)]
+struct Leaving {
+    /// No start is recorded or decided on them: each with the share it goes to.
+    empty: Vec<(MachineId, u32)>,
+    occupied: Vec<MachineId>,
+}
+
+impl Core {
+    /// Moves the machines that are to go to other shares and have nothing on them, and keeps those that have.
+    pub(super) fn move_machines(&mut self) {
+        for (share, machines) in self.machines_to_move() {
+            let seats = self.seats_for_moves(share);
+            if seats.is_empty() {
+                continue;
+            }
+            for id in machines.occupied {
+                self.write_machine(&id, |record| record.hold = None);
+            }
+            if self.submit_moves(&seats, machines.empty) {
+                // They draw from one counter of terms; the next share's would conflict with these.
+                return;
+            }
+        }
+    }
+
+    /// The roles by which this controller may move machines out of a share, which must last; none if it is not for
+    /// it to do.
+    fn seats_for_moves(&self, share: u32) -> Vec<Seat> {
+        let holder = Seat::Share(share);
+        let leads = self.is_leader() && self.surely_leads();
+        if self.record_version() == RecordVersion::FIRST {
+            return if leads { vec![Seat::Leader] } else { Vec::new() };
+        }
+        match mover(&self.replica, share) {
+            Mover::Holder if self.held(holder).is_some() => vec![holder],
+            // Its holder is of the first version, and must still be when the machine moves.
+            Mover::Leader if leads => vec![Seat::Leader, holder],
+            _ => Vec::new(),
+        }
+    }
+
+    /// Machines on hold to be moved, by the share that they are to leave.
+    fn machines_to_move(&self) -> BTreeMap<u32, Leaving> {
+        let mut leaving: BTreeMap<u32, Leaving> = BTreeMap::new();
+        for (id, held) in &self.replica.machines {
+            let Some(Hold::Move(to)) = held.value.hold else { continue };
+            // From the hold's revision on the replica shows every start that others recorded there.
+            let visible = self.replica.applied.0 >= held.version;
+            let writing = self.machines.get(id).is_some_and(|m| m.writing);
+            if !visible || writing || self.leader.deleting.contains(id) {
+                continue;
+            }
+            let machines = leaving.entry(held.value.share).or_default();
+            if self.sums.is_empty(id) {
+                machines.empty.push((id.clone(), to));
+            } else {
+                machines.occupied.push(id.clone());
+            }
+        }
+        leaving
+    }
+
+    /// Gives machines to their new shares, as many as one transaction takes. Whether there were any.
+    fn submit_moves(&mut self, seats: &[Seat], mut moves: Vec<(MachineId, u32)>) -> bool {
+        moves.truncate(self.platform.deployment.state.ops() - 1);
+        if moves.is_empty() {
+            return false;
+        }
+        let term = Term(self.replica.term_now().0 + 1);
+        let mut draft = Draft::default();
+        draft.unchanged(&self.replica, Key::Term);
+        for seat in seats {
+            draft.unchanged(&self.replica, Key::Seat(*seat));
+        }
+        draft.put(Key::Term, to_value(&term));
+        let mut ids = Vec::new();
+        for (id, to) in moves {
+            let Some(held) = self.replica.machines.get(&id) else { continue };
+            let record = MachineRecord { share: to, term, hold: None, ..held.value.clone() };
+            draft.unchanged(&self.replica, Key::Machine(id.clone()));
+            draft.put(Key::Machine(id.clone()), to_value(&record));
+            self.machines.entry(id.clone()).or_default().writing = true;
+            ids.push(id);
+        }
+        self.submit_txn(draft, Purpose::Machines(ids));
+        true
+    }
+}
--- /dev/null
+++ b/src/coordination/records.rs
@@ -0,0 +1,426 @@
+//! Writing down what was decided and seen about jobs: starts before their commands leave, tasks done or lost, outcomes.
+//!
+//! A start is recorded under the conditions that this controller still holds the job's share, that the job is not
+//! over, that its run chunk is as the replica has it, and that its machine can't have left the share meanwhile.
+
+use super::Core;
+use super::jobs::Job;
+use super::lives::{Live, Phase};
+use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
+use super::versions::leader_leaves_moves;
+use crate::bookkeeping::schema::{EndRecord, Key, RunChunk, Seat, StartRecord, to_value};
+use crate::bookkeeping::{Replica, Versioned};
+use crate::protocol::user::Kind;
+use crate::protocol::worker::Why;
+use crate::settings::Policy;
+use crate::units::{JobId, MachineId, Micros};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+type StoredChunks = BTreeMap<u32, Versioned<RunChunk>>;
+
+/// What one transaction may hold.
+#[derive(Clone, Copy)]
+struct TxnLimits {
+    writes: usize,
+    conditions: usize,
+    value_bytes: usize,
+}
+
+/// What proves that a machine stays in its share until a start on it is recorded.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum MachineGuard {
+    /// Its record is a condition of each start there: the leader moves machines by itself.
+    Records,
+    /// The leader's seat is a condition: this leader leaves it to the share's holder to move its machines, which is
+    /// this controller. One condition, however many machines the starts name.
+    Leadership,
+}
+
+/// Changes of one job's run chunks, as far as they fit a transaction.
+struct ChunkChanges<'a> {
+    stored: &'a StoredChunks,
+    chunk_tasks: u32,
+    limits: TxnLimits,
+    guard: MachineGuard,
+    chunks: BTreeMap<u32, RunChunk>,
+    /// Machines on which starts were added.
+    machines: BTreeSet<MachineId>,
+    /// Something did not fit and has to go with another transaction.
+    left_over: bool,
+}
+
+impl<'a> ChunkChanges<'a> {
+    fn new(stored: &'a StoredChunks, chunk_tasks: u32, limits: TxnLimits, guard: MachineGuard) -> ChunkChanges<'a> {
+        let (chunks, machines) = (BTreeMap::new(), BTreeSet::new());
+        ChunkChanges { stored, chunk_tasks, limits, guard, chunks, machines, left_over: false }
+    }
+
+    /// Conditions besides those that the guard takes for each machine: the share's seat, the outcome, perhaps the
+    /// leader's seat, and each chunk.
+    fn conditions(&self) -> usize {
+        let seats = if self.guard == MachineGuard::Leadership { 2 } else { 1 };
+        seats + 1 + self.chunks.len()
+    }
+
+    /// Whether so many machines' conditions fit, with one more chunk if `chunk` isn't among those changed.
+    fn fits(&self, machines: usize, chunk: u32) -> bool {
+        let more = usize::from(!self.chunks.contains_key(&chunk));
+        let guarded = if self.guard == MachineGuard::Records { machines } else { 0 };
+        self.conditions() + more + guarded <= self.limits.conditions
+    }
+
+    /// The chunk of a task, to be changed, if the transaction takes one more: beside its outcome, and with a start.
+    fn admits_chunk_of(&mut self, task: u32) -> bool {
+        let chunk = task / self.chunk_tasks;
+        let fits = self.chunks.len() + 2 <= self.limits.writes && self.fits(self.machines.len() + 1, chunk);
+        let admitted = self.chunks.contains_key(&chunk) || fits;
+        self.left_over |= !admitted;
+        admitted
+    }
+
+    /// Whether a start of the task on that machine fits.
+    fn admits_machine(&self, task: u32, machine: &MachineId) -> bool {
+        self.machines.contains(machine) || self.fits(self.machines.len() + 1, task / self.chunk_tasks)
+    }
+
+    fn chunk_of(&mut self, task: u32) -> &mut RunChunk {
+        let number = task / self.chunk_tasks;
+        let stored = || self.stored.get(&number).map(|c| c.value.clone()).unwrap_or_default();
+        self.chunks.entry(number).or_insert_with(stored)
+    }
+
+    /// Adds a start, under the attempt of its gang or the next of its chunk; says which.
+    fn add_start(&mut self, task: u32, live: &Live, gang_attempt: Option<u64>) -> u64 {
+        self.machines.insert(live.machine().clone());
+        let chunk = self.chunk_of(task);
+        let attempt = gang_attempt.unwrap_or(chunk.attempts + 1);
+        chunk.attempts = attempt;
+        chunk.starts.push(StartRecord(task, attempt, live.machine().clone(), live.session));
+        attempt
+    }
+
+    fn remove_start(&mut self, task: u32, done: bool) {
+        let chunk = self.chunk_of(task);
+        chunk.starts.retain(|s| s.0 != task);
+        if done {
+            chunk.mark_done(task);
+        }
+    }
+
+    /// All chunks of the job as they will be.
+    fn after(&self) -> impl Iterator<Item = &RunChunk> {
+        let unchanged = self.stored.iter().filter(|(n, _)| !self.chunks.contains_key(n)).map(|(_, c)| &c.value);
+        unchanged.chain(self.chunks.values())
+    }
+
+    fn done_count(&self) -> u32 {
+        self.after().map(RunChunk::done_count).sum()
+    }
+
+    fn has_starts(&self) -> bool {
+        self.after().any(|chunk| !chunk.starts.is_empty())
+    }
+
+    /// Leaves out chunks that are larger than may be written: those from under a larger limit, or with more done in
+    /// between than could be foreseen, wait until enough of their starts have ended. Whether there were any.
+    fn drop_too_large(&mut self) -> bool {
+        let before = self.chunks.len();
+        let most = self.limits.value_bytes;
+        self.chunks.retain(|_, chunk| serde_json::to_string(chunk).map_or(0, |text| text.len()) <= most);
+        self.chunks.len() < before
+    }
+
+    /// Takes all stored chunks out, as many as there is room for.
+    fn clear(&self, replica: &Replica, id: &JobId, draft: &mut Draft) {
+        let room = self.limits.writes - draft.txn.writes.len();
+        for number in self.stored.keys().take(room) {
+            draft.unchanged(replica, Key::Run(id.clone(), *number));
+            draft.delete(Key::Run(id.clone(), *number));
+        }
+    }
+
+    fn write(self, replica: &Replica, id: &JobId, writer: u64, draft: &mut Draft) {
+        match self.guard {
+            MachineGuard::Leadership if !self.machines.is_empty() => {
+                draft.unchanged(replica, Key::Seat(Seat::Leader));
+            }
+            MachineGuard::Leadership => {}
+            MachineGuard::Records => {
+                for machine in self.machines {
+                    draft.unchanged(replica, Key::Machine(machine));
+                }
+            }
+        }
+        for (number, mut chunk) in self.chunks {
+            chunk.writer = writer;
+            draft.unchanged(replica, Key::Run(id.clone(), number));
+            draft.put(Key::Run(id.clone(), number), to_value(&chunk));
+        }
+    }
+}
+
+impl Job {
+    /// Tasks whose records lack something. Chunks that lack nothing but tasks done are left for a while when others
+    /// of the job press.
+    fn tasks_to_record(&mut self, now: Micros, chunk_tasks: u32, progress_patience: Micros) -> Vec<u32> {
+        let all = matches!(Need::of(self), None | Some(Need::Outcome | Need::Progress))
+            || self.progress_since.is_some_and(|since| now.since(since) >= progress_patience);
+        if all {
+            self.progress_since = None;
+        }
+        let pressing = |live: &Live| live.phase() == Phase::Proposed || is_lost(live);
+        let pressed: BTreeSet<u32> =
+            self.live.iter().filter(|(_, live)| pressing(live)).map(|(task, _)| task / chunk_tasks).collect();
+        let due = |task: u32, live: &Live| {
+            pressing(live) || (!live.occupies() && (all || pressed.contains(&(task / chunk_tasks))))
+        };
+        self.live.iter().filter(|(task, live)| due(*task, live)).map(|(task, _)| task).collect()
+    }
+
+    /// Puts changes of these tasks into words. Says which starts can't be recorded: their machines have been put on
+    /// hold or have left the share since, the job is over, or no more machines fit.
+    fn change_chunks(&mut self, tasks: Vec<u32>, replica: &Replica, changes: &mut ChunkChanges) -> Vec<u32> {
+        let highest = changes.stored.values().map(|c| c.value.attempts).max().unwrap_or(0);
+        let gang_attempt = (self.spec.kind == Kind::Gang).then_some(highest + 1);
+        let gang_done = self.gang_done();
+        let mut dropped = Vec::new();
+        for task in tasks {
+            if !changes.admits_chunk_of(task) {
+                continue;
+            }
+            let Some(live) = self.live.get_mut(task) else { continue };
+            if live.phase() != Phase::Proposed {
+                changes.remove_start(task, gang_done || live.phase() == Phase::Ended(Why::Done));
+                continue;
+            }
+            let machine = replica.machines.get(live.machine());
+            let usable = machine.is_some_and(|m| m.value.hold.is_none() && m.value.share == self.share);
+            if !usable || self.over.is_some() || !changes.admits_machine(task, live.machine()) {
+                dropped.push(task);
+                continue;
+            }
+            live.attempt = changes.add_start(task, live, gang_attempt);
+        }
+        if gang_done {
+            self.complete_gang(changes);
+        }
+        dropped
+    }
+
+    /// The tasks of a gang that is done which have no start are done as well.
+    fn complete_gang(&self, changes: &mut ChunkChanges) {
+        for task in self.redo.iter().copied().chain(self.fresh_from..self.spec.tasks) {
+            if changes.admits_chunk_of(task) {
+                changes.chunk_of(task).mark_done(task);
+            }
+        }
+    }
+}
+
+impl Core {
+    /// Jobs whose books are to be brought up to date, those that can wait least first, and until
+    /// when each may wait for others when the change budget is short.
+    pub(super) fn due_records(&mut self) -> Vec<(Micros, u32, JobId)> {
+        let now = self.now();
+        let delay = Micros::from_millis(self.policy.record_delay_ms);
+        let batch_delay = Micros::from_millis(self.policy.batch_delay_ms);
+        let idle = self.budget.is_idle(now);
+        let mut due = Vec::new();
+        let mut settled = Vec::new();
+        for id in &self.sums.touched {
+            let Some(job) = self.jobs.get_mut(id) else {
+                settled.push(id.clone());
+                continue;
+            };
+            if job.locked || now < job.too_large_until {
+                continue;
+            }
+            // Its owner's matter; all are looked at again when the share is taken. Swept jobs have nothing in the
+            // books but the outcome that is written with others'.
+            if self.swept.contains(id) || !self.seats.held.contains_key(&Seat::Share(job.share)) {
+                settled.push(id.clone());
+                continue;
+            }
+            let Some(need) = Need::of(job) else {
+                settled.push(id.clone());
+                continue;
+            };
+            let since = *job.dirty_since.get_or_insert(now);
+            // What an urgent job waits for is over no sooner than its outcome is in the books.
+            let need_soon = if need == Need::Outcome && job.is_urgent() { Need::Urgent } else { need };
+            let latest = since + Micros::from_millis(need_soon.patience_ms(&self.policy));
+            // What can wait goes when there is nothing better to do, or with company. Where machines are
+            // full batch tasks start one by one as others end; each alone would cost a change.
+            let waits = match need {
+                Need::Progress => now.since(since) < delay || (!idle && now < latest),
+                Need::Batch => !idle && now.since(since) < batch_delay,
+                Need::Urgent | Need::Outcome => false,
+            };
+            if waits {
+                continue;
+            }
+            due.push((latest, job.share, id.clone()));
+        }
+        for id in settled {
+            self.sums.touched.remove(&id);
+        }
+        due.sort();
+        due
+    }
+
+    /// Writes down what was decided and seen about the first job of `due`, and about as many of the
+    /// next ones as fit the same transaction.
+    pub(super) fn record(&mut self, due: &mut VecDeque<(Micros, u32, JobId)>) {
+        let limits = self.txn_limits();
+        // Near the limit the service rather refuses large transactions than small ones.
+        let rate = self.platform.deployment.state.write_rps;
+        let enough = ((rate * self.policy.txn_part) as usize).clamp(4, limits.writes);
+        let Some(share) = due.front().map(|(_, share, _)| *share) else { return };
+        let seat = Seat::Share(share);
+        let mut draft = Draft::default();
+        let mut ids: Vec<JobId> = Vec::new();
+        while due.front().is_some_and(|(_, s, _)| *s == share) {
+            let Some((_, _, id)) = due.pop_front() else { break };
+            let what = self.jobs.get(&id).and_then(Need::of).map_or("nothing", Need::name);
+            let part = self.job_part(&id, seat, limits);
+            self.budget.count(what, part.txn.writes.len());
+            if part.txn.writes.is_empty() {
+                self.job_txn_over(&id);
+                continue;
+            }
+            let writes = draft.txn.writes.len() + part.txn.writes.len();
+            let conditions = draft.txn.conditions.len() + part.txn.conditions.len();
+            if !ids.is_empty() && (writes > limits.writes || conditions > limits.conditions) {
+                self.send_txn(std::mem::take(&mut draft), Purpose::Jobs(std::mem::take(&mut ids)));
+            }
+            for condition in part.txn.conditions {
+                if !draft.txn.conditions.contains(&condition) {
+                    draft.txn.conditions.push(condition);
+                }
+            }
+            draft.txn.writes.extend(part.txn.writes);
+            ids.push(id);
+            if draft.txn.writes.len() >= enough {
+                break;
+            }
+        }
+        if !ids.is_empty() {
+            self.send_txn(draft, Purpose::Jobs(ids));
+        }
+    }
+
+    fn txn_limits(&self) -> TxnLimits {
+        let limits = &self.platform.deployment.state;
+        let writes = limits.ops();
+        TxnLimits { writes, conditions: writes * CONDITIONS_PER_WRITE, value_bytes: limits.value_bytes() }
+    }
+
+    /// The part of a transaction that brings one job's records up to date. Locks the job.
+    fn job_part(&mut self, id: &JobId, seat: Seat, limits: TxnLimits) -> Draft {
+        let writer = self.nonce();
+        let now = self.now();
+        let progress_patience = Micros::from_millis(self.policy.progress_patience_ms);
+        let leaves_moves = leader_leaves_moves(&self.replica, self.record_version());
+        let guard = if leaves_moves { MachineGuard::Leadership } else { MachineGuard::Records };
+        let mut draft = Draft::default();
+        let Some(job) = self.jobs.get_mut(id) else { return draft };
+        job.locked = true;
+        job.dirty_since = None;
+        let none = BTreeMap::new();
+        let stored = self.replica.runs.get(id).unwrap_or(&none);
+        let mut changes = ChunkChanges::new(stored, self.chunk_tasks, limits, guard);
+        let tasks = job.tasks_to_record(now, self.chunk_tasks, progress_patience);
+        for task in job.change_chunks(tasks, &self.replica, &mut changes) {
+            job.live.remove(task, &mut self.sums);
+            job.redo.insert(task);
+        }
+        if changes.left_over {
+            job.dirty_since = Some(Micros::ZERO);
+        }
+        draft.unchanged(&self.replica, Key::Seat(seat));
+        let end = Key::End(id.clone());
+        if job.over.is_none() {
+            draft.unchanged(&self.replica, end.clone());
+        }
+        let finishes = job.over.is_none() && job.spec.kind != Kind::Service && changes.done_count() >= job.spec.tasks;
+        if finishes {
+            draft.put(end, to_value(&EndRecord::done()));
+        }
+        if (finishes || job.over.is_some()) && !changes.has_starts() && !changes.left_over {
+            // Over and nothing left of it: clear away. The outcome stays, and so does the job's
+            // entry in its batch until all of that are over.
+            changes.clear(&self.replica, id, &mut draft);
+            return draft;
+        }
+        if changes.drop_too_large() {
+            tracing::debug!(job = %id, "a part of its books is larger than may be written now");
+            job.too_large_until = now + TOO_LARGE_PAUSE;
+            job.dirty_since = Some(Micros::ZERO);
+            if finishes {
+                // The outcome goes with the record of its last tasks or not at all.
+                return Draft::default();
+            }
+        }
+        changes.write(&self.replica, id, writer, &mut draft);
+        draft
+    }
+}
+
+/// A job whose books are too large to be written is looked at again after so long.
+const TOO_LARGE_PAUSE: Micros = Micros::from_millis(500);
+
+/// Whether its task has to start once more.
+fn is_lost(live: &Live) -> bool {
+    match live.phase() {
+        Phase::Gone => true,
+        Phase::Ended(why) => why != Why::Done,
+        _ => false,
+    }
+}
+
+/// What a job's books lack, the most pressing of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Need {
+    /// A start of urgent work, or a service that is down until a lost place is out of the books.
+    Urgent,
+    /// Its outcome, which its user waits for.
+    Outcome,
+    /// A start, or a lost place, of batch work.
+    Batch,
+    /// Tasks done while others go on; nobody waits for it.
+    Progress,
+}
+
+impl Need {
+    fn of(job: &Job) -> Option<Need> {
+        let urgent = job.is_urgent();
+        let finished = job.spec.kind != Kind::Service && job.done + job.done_unrecorded.len() as u32 >= job.spec.tasks;
+        let gang_rest = job.over.is_none() && job.gang_done() && job.waiting() > 0;
+        if job.live.occupying() == 0 && (job.over.is_some() || finished) || gang_rest {
+            return Some(Need::Outcome);
+        }
+        // Tasks done press in no job; taken for urgent they'd be looked at in vain in every round.
+        if job.live.proposed() > 0 || (job.live.settled() > 0 && job.live.values().any(is_lost)) {
+            return Some(if urgent { Need::Urgent } else { Need::Batch });
+        }
+        (job.live.settled() > 0 || job.dirty_since == Some(Micros::ZERO)).then_some(Need::Progress)
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Need::Urgent => "urgent starts",
+            Need::Outcome => "outcomes",
+            Need::Batch => "batch starts",
+            Need::Progress => "progress",
+        }
+    }
+
+    fn patience_ms(self, policy: &Policy) -> u64 {
+        match self {
+            Need::Urgent => policy.urgent_patience_ms,
+            Need::Outcome => policy.outcome_patience_ms,
+            Need::Batch => policy.batch_patience_ms,
+            Need::Progress => policy.progress_patience_ms,
+        }
+    }
+}
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -158,7 +158,8 @@
         if now < self.seats.not_before {
             return;
         }
-        let record = NodeRecord { incarnation: self.incarnation, unfit: self.seats.unfit };
+        let record =
+            NodeRecord { incarnation: self.incarnation, unfit: self.seats.unfit, version: self.record_version() };
         if self.replica.nodes.get(&self.label).map(|n| &n.value) != Some(&record) && !self.seats.node_writing {
             self.seats.node_writing = true;
             let mut txn = Draft::default();
@@ -207,7 +208,12 @@
 
     /// Writes us down as a seat's holder under a new term.
     fn take_seat(&mut self, seat: Seat, lease: u64, term: Term) {
-        let record = SeatRecord { owner: self.label.clone(), incarnation: self.incarnation, term };
+        let record = SeatRecord {
+            owner: self.label.clone(),
+            incarnation: self.incarnation,
+            term,
+            version: self.record_version(),
+        };
         let mut txn = Draft::default();
         txn.unchanged(&self.replica, Key::Seat(seat));
         txn.unchanged(&self.replica, Key::Term);
--- /dev/null
+++ b/src/coordination/versions.rs
@@ -0,0 +1,47 @@
+//! Which version of the rules for stored records each controller follows, and what that allows.
+//!
+//! A controller writes its version down with each role it takes and with its own entry; one from before versions were
+//! announced counts as the first. What a version changes may be relied on only where the record that says so is a
+//! condition of the same transaction: then an older controller that takes the role in between makes it fail.
+
+use crate::bookkeeping::Replica;
+use crate::bookkeeping::schema::{RecordVersion, Seat};
+
+/// From this version on a leader only asks for a machine to be moved; the holder of the machine's share, the one
+/// controller that records starts there, moves it once nothing is left on it. Before, the leader moved it by
+/// itself, which is safe only if each start is conditional on its machine's record.
+const HOLDER_MOVES: RecordVersion = RecordVersion(1);
+
+/// Who moves a machine out of a share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mover {
+    Holder,
+    Leader,
+    /// Nobody until somebody has taken the share.
+    Nobody,
+}
+
+/// Whether whoever leads leaves it to the holders of shares to move machines. True while nobody leads: no machine is
+/// moved then by anybody else.
+pub fn leader_leaves_moves(replica: &Replica, own: RecordVersion) -> bool {
+    let leader = replica.seats.get(&Seat::Leader).map(|held| held.value.version);
+    own >= HOLDER_MOVES && leader.is_none_or(|version| version >= HOLDER_MOVES)
+}
+
+/// Who moves machines out of a share, as far as the replica shows.
+pub fn mover(replica: &Replica, share: u32) -> Mover {
+    let version = |seat| replica.seats.get(&seat).map(|held| held.value.version);
+    if version(Seat::Leader).is_some_and(|leader| leader < HOLDER_MOVES) {
+        return Mover::Leader;
+    }
+    match version(Seat::Share(share)) {
+        Some(holder) if holder >= HOLDER_MOVES => Mover::Holder,
+        Some(_) => Mover::Leader,
+        None => Mover::Nobody,
+    }
+}
+
+/// The oldest version among the controllers that are alive.
+pub fn oldest(replica: &Replica) -> Option<RecordVersion> {
+    replica.nodes.values().map(|node| node.value.version).min()
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -303,6 +303,9 @@
 }
 
 policy! {
+    /// Version of the rules for stored records that this controller follows and announces. A lower one is for going
+    /// back to an earlier release step by step.
+    record_version: u32 = 1, 0, 1;
     /// How long a controller's session in the state service outlives its last renewal.
     session_ms: u64 = 3000, 500, 60000;
     /// A free share that belongs to another controller by order is left alone for this long, times its distance.
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -4,8 +4,8 @@
 
 use burlhatch::bookkeeping::Replica;
 use burlhatch::bookkeeping::schema::{
-    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Outcome, RunChunk, Seat,
-    SeatRecord, StartRecord, from_value, to_value,
+    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Outcome, RecordVersion,
+    RunChunk, Seat, SeatRecord, StartRecord, from_value, to_value,
 };
 use burlhatch::protocol::peer::{Cancelled, CancelledJob, Knows, Relay, Relayed};
 use burlhatch::protocol::user::{JobSpec, Kind, Priority};
@@ -37,6 +37,7 @@
 const RELAY: &str = "092f6170692f6a6f627301030639";
 const RELAYED: &str = "f7010104020109";
 
+const FIRST: RecordVersion = RecordVersion::FIRST;
 const AT: Micros = Micros(1_700_000_000_000_000);
 
 fn bytes(hex: &str) -> Vec<u8> {
@@ -94,8 +95,8 @@
 #[test]
 fn records_are_the_same_in_both_versions() {
     both_ways(TERM, Term(41));
-    both_ways(SEAT, SeatRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41) });
-    both_ways(NODE, NodeRecord { incarnation: 77, unfit: true });
+    both_ways(SEAT, SeatRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41), version: FIRST });
+    both_ways(NODE, NodeRecord { incarnation: 77, unfit: true, version: FIRST });
     both_ways(MACHINE, machine(Some(Hold::Move(1))));
     let fleet_member = |id, hold| FleetMember { id: MachineId::new(id), record: machine(hold) };
     both_ways(FLEET, vec![fleet_member("m-000231", None), fleet_member("m-000232", Some(Hold::Doomed))]);
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -3,6 +3,7 @@
 mod cancellations;
 mod meetings;
 mod pipelines;
+mod upgrade;
 mod world;
 
 use burlhatch::coordination::UserAnswer;
--- /dev/null
+++ b/tests/rules/upgrade.rs
@@ -0,0 +1,109 @@
+//! Controllers of two record versions side by side: the earlier leader moves machines between shares by itself, the
+//! later one leaves that to the holders of the shares.
+
+use super::world::{LARGE, MS, S, Size, World};
+use super::{finish, keeping_idle_machines, seeds};
+use burlhatch::protocol::user::{Kind, Priority};
+use burlhatch::settings::Policy;
+
+/// Teams' work comes in turns, and nothing can be rented: machines go back and forth between shares.
+fn world_of_many_moves(seed: u64) -> World {
+    let policy = Policy { shift_after_ms: 300, shift_part: 1.0, drain_ms: 1000, ..keeping_idle_machines() };
+    let mut world = World::sized(seed, policy, Size { machines: 7, capacity: 7, ..LARGE });
+    world.report_copies = 0;
+    world
+}
+
+fn work_of_one_team(world: &mut World, round: u64) {
+    let team = ["red", "green", "blue", "green"][round as usize % 4];
+    for n in 0..4 {
+        let mut spec = World::spec(Kind::Array, team, 4, 2.0);
+        spec.estimate_s = 1.0;
+        spec.priority = Priority::High;
+        world.submit(1000 + round * 10 + n, spec);
+    }
+}
+
+#[test]
+fn holders_move_their_machines() {
+    let mut world = world_of_many_moves(80);
+    for round in 0..12 {
+        work_of_one_team(&mut world, round);
+        world.run_for(4 * S);
+    }
+    finish(&mut world, "moves");
+    assert!(world.records.moves >= 20, "only {} moves", world.records.moves);
+}
+
+fn urgent_work(world: &mut World, number: u64, team: &str, tasks: u32, image: &str) {
+    let mut spec = World::spec(Kind::Array, team, tasks, 2.0);
+    spec.estimate_s = 1.0;
+    spec.priority = Priority::High;
+    spec.image = image.into();
+    world.submit(number, spec);
+}
+
+/// The one race that a start under a later leader would lose to an earlier one: the record of the start is on its way
+/// for seconds, while the leader ends, comes back as the earlier version and moves the machine, on which it sees
+/// nothing. (It takes the share to use another machine, as it doesn't know which one holds the image.)
+#[test]
+fn a_start_recorded_late_meets_an_earlier_leader() {
+    let mut moves = 0;
+    for seed in seeds(82, 10) {
+        let mut world = world_of_many_moves(seed);
+        world.run_for(6 * S);
+        urgent_work(&mut world, 1, "blue", 2, "first");
+        world.run_for(500 * MS);
+        urgent_work(&mut world, 2, "blue", 2, "second");
+        world.run_for(12 * S);
+        let leader = world.holder("leader").expect("somebody leads");
+        let holder = world.holder("share/1").expect("somebody holds it");
+        assert_ne!(leader, holder);
+        world.late_writes_of(holder, 8 * S);
+        urgent_work(&mut world, 3, "blue", 1, "second");
+        world.run_for(400 * MS);
+        world.go_back(leader, 200 * MS);
+        urgent_work(&mut world, 4, "green", 60, "third");
+        world.run_for(20 * S);
+        moves += world.records.moves;
+        finish(&mut world, &format!("late start {seed}"));
+    }
+    assert!(moves >= 10, "only {moves} moves");
+}
+
+/// Each controller in turn is of either version, also back and forth, while machines move: leaders end, transactions
+/// are carried out seconds late, the state service is away for a while. A start is never recorded on a machine that
+/// has left its share, and all work gets done.
+#[test]
+fn the_leaders_version_changes_while_machines_move() {
+    let mut moves = 0;
+    for seed in seeds(81, 6) {
+        let mut world = world_of_many_moves(seed);
+        if seed % 2 == 0 {
+            world.all_old();
+        }
+        for round in 0..16 {
+            work_of_one_team(&mut world, round);
+            world.late_writes(4 * S, 2);
+            let span = S + world.pick(2 * S);
+            world.run_for(span);
+            let node = match world.holder("leader") {
+                Some(leader) if round % 2 == 0 => leader,
+                _ => world.pick(5) as usize,
+            };
+            let back_after = if world.chance(2) { 200 * MS } else { 3 * S };
+            if world.chance(2) {
+                world.go_back(node, back_after);
+            } else {
+                world.upgrade(node);
+            }
+            if round == 9 {
+                world.state_outage(6 * S);
+            }
+            world.run_for(3 * S);
+        }
+        moves += world.records.moves;
+        finish(&mut world, &format!("versions change {seed}"));
+    }
+    assert!(moves >= 60, "only {moves} moves");
+}
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -3,10 +3,11 @@
 //! and fixed seeds, breaks things, and checks the protocol's rules after every step.
 
 mod cloud;
+mod records;
 mod state;
 mod worker;
 
-use burlhatch::bookkeeping::schema::ROOT;
+use burlhatch::bookkeeping::schema::{ROOT, RecordVersion};
 use burlhatch::coordination::{
     Clock, CloudCall, CloudOutcome, Command, Core, Effect, Failure, OrdersOutcome, ReadOutcome, StateCall, TxnOutcome,
     UserAnswer, UserRequest, WorkerAnswer,
@@ -19,6 +20,7 @@
 use cloud::Cloud;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use records::Records;
 use state::State;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -236,6 +238,8 @@
     pub report_copies: u32,
     /// Until then transactions, one in so many, get no answer and are carried out 2 to 12 s later.
     late_writes: (u64, u32),
+    /// Only those of this controller.
+    late_writer: Option<usize>,
     /// Until then every packet takes so much longer at most.
     slow: (u64, u64),
     /// Users call off a job as it ends, one in so many; 0 for none.
@@ -249,8 +253,10 @@
     overheard: Option<UserAnswer>,
     /// What the controllers' settings say of limits to come.
     next_limits: String,
-    /// Controllers that don't read them yet, as the version before did not.
+    /// Controllers of the version before: they don't read that yet, and follow the first rules for records.
     old: BTreeSet<usize>,
+    /// What was written, checked record by record.
+    pub records: Records,
 }
 
 impl World {
@@ -289,6 +295,7 @@
             copies: 20,
             report_copies: 30,
             late_writes: (0, 1),
+            late_writer: None,
             slow: (0, 0),
             cancel_at_end: 0,
             odd_requests: false,
@@ -297,6 +304,7 @@
             overheard: None,
             next_limits: String::new(),
             old: BTreeSet::new(),
+            records: Records::new(size.nodes),
         };
         for i in 0..size.nodes {
             let drift = 1.0 + world.rng.random_range(-0.0005..0.0005);
@@ -399,6 +407,13 @@
     pub fn late_writes(&mut self, duration: u64, one_in: u32) {
         tracing::info!(at_ms = self.now / MS, duration, "trouble: late writes");
         self.late_writes = (self.now + duration, one_in);
+        self.late_writer = None;
+    }
+
+    /// The same for all transactions of one controller.
+    pub fn late_writes_of(&mut self, node: usize, duration: u64) {
+        self.late_writes(duration, 1);
+        self.late_writer = Some(node);
     }
 
     pub fn slow_links(&mut self, duration: u64, most: u64) {
@@ -636,7 +651,8 @@
                 };
                 let shape = request.clone();
                 let is_txn = matches!(request, StateCall::Txn { .. });
-                if is_txn && self.now < self.late_writes.0 && self.chance(self.late_writes.1) {
+                let may_be_late = self.now < self.late_writes.0 && self.late_writer.is_none_or(|late| late == node);
+                if is_txn && may_be_late && self.chance(self.late_writes.1) {
                     self.next_call += 1;
                     let call = self.next_call;
                     let late = 2 * S + self.pick(10 * S);
@@ -929,7 +945,10 @@
         match event {
             Event::Restart(i) => {
                 let seed = self.rng.random();
-                let next = if self.old.contains(&i) { "" } else { &self.next_limits };
+                let old = self.old.contains(&i);
+                let next = if old { "" } else { &self.next_limits };
+                let mut policy = self.policy.clone();
+                policy.record_version = if old { RecordVersion::FIRST.0 } else { policy.record_version };
                 let platform = Platform::parse(&(settings(i, self.size) + next)).expect("valid settings");
                 let node = &mut self.nodes[i];
                 if node.core.is_some() {
@@ -937,7 +956,7 @@
                 }
                 node.life += 1;
                 node.began = self.now;
-                node.core = Some(Core::new(Arc::new(platform), Arc::new(self.policy.clone()), seed));
+                node.core = Some(Core::new(Arc::new(platform), Arc::new(policy), seed));
                 let life = node.life;
                 self.at(0, Event::Tick(i, life));
             }
@@ -1029,6 +1048,13 @@
             return self.at(wait_ms * MS, Event::WatchEnds { call });
         }
         let command = self.state.answer(now, &request);
+        if let (StateCall::Txn { txn, .. }, Command::Txn { outcome: TxnOutcome::Committed(revision), .. }) =
+            (&request, &command)
+        {
+            for what in self.records.committed(txn, *revision) {
+                self.broken(what);
+            }
+        }
         self.reply(Place::State, node, life, call, command);
         self.wake_watches();
     }
@@ -1111,6 +1137,12 @@
         self.crash(node, 4 * S);
     }
 
+    /// One controller is killed and comes back as the version before.
+    pub fn go_back(&mut self, node: usize, back_after: u64) {
+        self.old.insert(node);
+        self.crash(node, back_after);
+    }
+
     /// From then on the state service takes no larger values and transactions, and fewer changes.
     pub fn lower_limits_at(&mut self, at: u64, value: usize, ops: usize, write_rps: f64) {
         self.state.lower = Some((at, value, ops, write_rps));
--- /dev/null
+++ b/tests/rules/world/records.rs
@@ -0,0 +1,68 @@
+//! What controllers write to the state service, checked record by record.
+
+use burlhatch::bookkeeping::schema::{Key, MachineRecord, RunChunk, StartRecord, from_value};
+use burlhatch::bookkeeping::{Replica, Versioned};
+use burlhatch::protocol::state::{Txn, Write};
+use burlhatch::units::{JobId, MachineId};
+use std::collections::BTreeMap;
+
+/// The teams of the world's settings, in their order.
+const TEAMS: [&str; 3] = ["red", "blue", "green"];
+
+pub struct Records {
+    replica: Replica,
+    shares: u32,
+    /// Machines that went from one share to another.
+    pub moves: u64,
+}
+
+impl Records {
+    pub fn new(controllers: usize) -> Records {
+        Records { replica: Replica::default(), shares: controllers as u32, moves: 0 }
+    }
+
+    /// Takes in a transaction; says what should not have been written.
+    pub fn committed(&mut self, txn: &Txn, revision: u64) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for write in &txn.writes {
+            let (key, value) = match write {
+                Write::Put { key, value, .. } => (key, Some(value)),
+                Write::Delete { key } => (key, None),
+            };
+            match (Key::parse(key), value) {
+                (Some(Key::Run(id, chunk)), Some(value)) => {
+                    let chunk_now: RunChunk = from_value(value).expect("a run chunk");
+                    wrong.extend(self.misplaced(&id, chunk, &chunk_now));
+                }
+                (Some(Key::Machine(id)), Some(value)) => self.count_move(&id, value),
+                _ => {}
+            }
+            self.replica.apply(key, value, revision);
+        }
+        wrong
+    }
+
+    fn count_move(&mut self, id: &MachineId, value: &ciborium::Value) {
+        let record: MachineRecord = from_value(value).expect("a machine's record");
+        let before = self.replica.machines.get(id).map(|held| held.value.share);
+        self.moves += u64::from(before.is_some_and(|share| share != record.share));
+    }
+
+    /// Starts recorded on machines of other shares than their job's: whoever commands these tells nothing of them to
+    /// the job's share. One on a machine that is not in the books any more is harmless, as it was deleted.
+    fn misplaced(&self, id: &JobId, chunk: u32, now: &RunChunk) -> Vec<String> {
+        let before: Option<&Versioned<RunChunk>> = self.replica.runs.get(id).and_then(|chunks| chunks.get(&chunk));
+        let known = |start: &StartRecord| before.is_some_and(|b| b.value.starts.contains(start));
+        let job = &self.replica.jobs[id].record.spec;
+        let team = TEAMS.iter().position(|team| job.team.as_deref() == Some(team)).expect("a team of the world");
+        let share = team as u32 % self.shares;
+        let placed: BTreeMap<&MachineId, u32> = now
+            .starts
+            .iter()
+            .filter(|start| !known(start))
+            .filter_map(|start| Some((&start.2, self.replica.machines.get(&start.2)?.value.share)))
+            .collect();
+        let wrong = placed.into_iter().filter(|(_, of)| *of != share);
+        wrong.map(|(machine, of)| format!("a start of {id}, share {share}, is recorded on {machine} of {of}")).collect()
+    }
+}
