--- a/tests/production.rs
+++ b/tests/production.rs
@@ -38,6 +38,23 @@
 const RELAYED: &str = "f7010104020109";
 
 const FIRST: RecordVersion = RecordVersion::FIRST;
+/// What the first version with pipelines stores beyond that (commit 90f4811, printed in the same way): jobs that await
+/// others, also those whose list is in keys of its own.
+const AWAITING_BATCH: &str = "81b5616a69776b2d3030303431326261741b00060a24181e4000636c6f7465747261696e646372657766766973696f6e\
+    6573686170656561727261796472616e6b687374616e64617264667069656365731065636f726573f948006467707573f90000696d656d\
+    6f72795f6762f954086662756e646c6566696d672d30376770756c6c5f6762fb4018cccccccccccd6568756c6c7381626738686f6e655f\
+    7a6f6e65f466737072656164f5696472696674776f6f64f5686578706563745f73f95b806c73746f775f65766572795f73f94f80667374\
+    6f775f73f94400656475655f73f96308666177616974738269776b2d30303033393869776b2d303030343035";
+const SPLIT_BATCH: &str = "81b5616a69776b2d3030303431326261741b00060a24181e40006170826334643202636c6f7465747261696e6463726577667669\
+    73696f6e6573686170656561727261796472616e6b687374616e64617264667069656365731065636f726573f948006467707573f90000\
+    696d656d6f72795f6762f954086662756e646c6566696d672d30376770756c6c5f6762fb4018cccccccccccd6568756c6c738162673868\
+    6f6e655f7a6f6e65f466737072656164f5696472696674776f6f64f5686578706563745f73f95b806c73746f775f65766572795f73f94f\
+    806673746f775f73f94400656475655f73f96308";
+const AWAITED_LIST: &str = "8269776b2d30303033393869776b2d303030343035";
+/// What every controller's seat and entry hold since versions are announced.
+const ANNOUNCED_SEAT: &str = "a4616f6b68617463686c696e672d306169184d61741829617601";
+const ANNOUNCED_NODE: &str = "a36169184d6175f4617601";
+
 const AT: Micros = Micros(1_700_000_000_000_000);
 
 fn bytes(hex: &str) -> Vec<u8> {
@@ -107,6 +124,59 @@
     both_ways(CANCELLED, EndRecord::cancelled(AT));
 }
 
+fn awaited() -> Vec<JobId> {
+    vec![JobId::new("wk-000398"), JobId::new("wk-000405")]
+}
+
+fn split_member() -> BatchMember {
+    let whole = member(spec());
+    BatchMember { record: JobRecord { pieces: Some(("4d2".into(), 2)), ..whole.record }, ..whole }
+}
+
+#[test]
+fn records_are_those_of_the_first_version_with_pipelines() {
+    both_ways(AWAITING_BATCH, vec![member(JobSpec { awaits: awaited(), ..spec() })]);
+    both_ways(SPLIT_BATCH, vec![split_member()]);
+    both_ways(AWAITED_LIST, awaited());
+}
+
+/// Versions before read seats and entries that announce one, and ignore it; a record without one is of the first.
+#[test]
+fn versions_are_announced_in_fields_that_earlier_controllers_ignore() {
+    #[derive(Deserialize)]
+    struct EarlierSeat {
+        o: String,
+        i: u64,
+        t: Term,
+    }
+    let version = RecordVersion(1);
+    both_ways(ANNOUNCED_SEAT, SeatRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41), version });
+    both_ways(ANNOUNCED_NODE, NodeRecord { incarnation: 77, unfit: false, version });
+    let stored: Value = decode(&bytes(ANNOUNCED_SEAT)).expect("CBOR");
+    let earlier: EarlierSeat = from_value(&stored).expect("readable");
+    assert_eq!((earlier.o.as_str(), earlier.i, earlier.t), ("hatchling-0", 77, Term(41)));
+    let seat: SeatRecord = from_value(&decode(&bytes(SEAT)).expect("CBOR")).expect("readable");
+    assert_eq!(seat.version, FIRST);
+}
+
+/// A job whose list of awaited jobs is in keys of its own is whole once these were read.
+#[test]
+fn a_split_list_of_awaited_jobs_is_read_back() {
+    let mut replica = Replica::default();
+    let keys = [
+        (Key::Piece("4d2".into(), 0), AWAITED_LIST),
+        (Key::Piece("4d2".into(), 1), "8169776b2d303030343036"),
+        (Key::Batch("b1".into()), SPLIT_BATCH),
+    ];
+    for (n, (key, hex)) in keys.into_iter().enumerate() {
+        let value: Value = decode(&bytes(hex)).expect("CBOR");
+        replica.apply(&key.to_string(), Some(&value), n as u64 + 1);
+    }
+    let mut expected = awaited();
+    expected.push(JobId::new("wk-000406"));
+    assert_eq!(replica.jobs[&JobId::new("wk-000412")].record.spec.awaits, expected);
+}
+
 #[test]
 fn messages_between_controllers_are_the_same_in_both_versions() {
     let jobs = vec![CancelledJob { id: "wk-000412".into(), at: AT.0, revision: 431 }];
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,44 @@
+//! Who moves machines out of a share, by what the seats in the replica announce.
+
+use burlhatch::bookkeeping::Replica;
+use burlhatch::bookkeeping::schema::{Key, RecordVersion, Seat, SeatRecord, to_value};
+use burlhatch::coordination::versions::{Mover, leader_leaves_moves, mover};
+use burlhatch::units::Term;
+
+const FIRST: RecordVersion = RecordVersion::FIRST;
+const LATER: RecordVersion = RecordVersion(1);
+
+fn replica(leader: Option<RecordVersion>, holder: Option<RecordVersion>) -> Replica {
+    let mut replica = Replica::default();
+    for (seat, version) in [(Seat::Leader, leader), (Seat::Share(2), holder)] {
+        if let Some(version) = version {
+            let record = SeatRecord { owner: "node-1".into(), incarnation: 1, term: Term(1), version };
+            replica.apply(&Key::Seat(seat).to_string(), Some(&to_value(&record)), 1);
+        }
+    }
+    replica
+}
+
+#[test]
+fn the_leader_moves_machines_next_to_a_controller_of_the_first_version() {
+    assert_eq!(mover(&replica(Some(FIRST), Some(FIRST)), 2), Mover::Leader);
+    assert_eq!(mover(&replica(Some(FIRST), Some(LATER)), 2), Mover::Leader);
+    assert_eq!(mover(&replica(Some(FIRST), None), 2), Mover::Leader);
+    assert_eq!(mover(&replica(Some(LATER), Some(FIRST)), 2), Mover::Leader);
+}
+
+#[test]
+fn the_holder_moves_them_where_both_are_later() {
+    assert_eq!(mover(&replica(Some(LATER), Some(LATER)), 2), Mover::Holder);
+    assert_eq!(mover(&replica(None, Some(LATER)), 2), Mover::Holder);
+    assert_eq!(mover(&replica(Some(LATER), None), 2), Mover::Nobody);
+}
+
+#[test]
+fn starts_rely_on_the_leader_only_where_it_is_later() {
+    assert!(leader_leaves_moves(&replica(Some(LATER), None), LATER));
+    assert!(leader_leaves_moves(&replica(None, None), LATER));
+    assert!(!leader_leaves_moves(&replica(Some(FIRST), None), LATER));
+    assert!(!leader_leaves_moves(&replica(Some(LATER), None), FIRST));
+    assert!(!leader_leaves_moves(&replica(None, None), FIRST));
+}
