--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -32,6 +32,8 @@
     refused_at: Option<Micros>,
     /// Changes sent by what they were for, and refusals, since the last account.
     counts: BTreeMap<&'static str, usize>,
+    /// Of these those that conflicted, which the service counts all the same.
+    conflicts: BTreeMap<&'static str, usize>,
     counted_from: Micros,
 }
 
@@ -54,6 +56,7 @@
             at: Micros::ZERO,
             refused_at: None,
             counts: BTreeMap::new(),
+            conflicts: BTreeMap::new(),
             counted_from: Micros::ZERO,
         }
     }
@@ -72,13 +75,18 @@
         *self.counts.entry(what).or_default() += changes;
     }
 
+    pub fn count_conflict(&mut self, what: &'static str, changes: usize) {
+        *self.conflicts.entry(what).or_default() += changes;
+    }
+
     /// Tells every so often what the changes were for.
     pub fn account(&mut self, now: Micros) {
         if now.since(self.counted_from) >= ACCOUNT_EVERY {
             self.counted_from = now;
             let counts = std::mem::take(&mut self.counts);
+            let conflicts = std::mem::take(&mut self.conflicts);
             if !counts.is_empty() {
-                tracing::debug!(?counts, rate = self.rate, "changes sent");
+                tracing::debug!(?counts, ?conflicts, rate = self.rate, "changes sent");
             }
         }
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,7 +1,7 @@
 //! The leader's work: takes machines into the books, plans which share gets which, rents and returns.
 
 use super::jobs::Job;
-use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
+use super::txns::{CONDITIONS_PER_WRITE, Draft, MachineChange, Purpose};
 use super::users::VALUE_FILL;
 use super::{CloudCall, CloudOutcome, Core, Effect, TypeInfo};
 use crate::bookkeeping::schema::{FleetMember, Hold, Key, MachineRecord, Seat, to_value};
@@ -209,6 +209,14 @@
     /// Takes deleted machines out of the books, which proves to their shares that nothing is left
     /// on them.
     pub(super) fn strike_out(&mut self, ids: Vec<MachineId>) {
+        let returned =
+            |id: &MachineId| self.replica.machines.get(id).is_some_and(|held| held.value.hold == Some(Hold::Retire));
+        let (returned, lost): (Vec<_>, Vec<_>) = ids.into_iter().partition(returned);
+        self.strike_out_as(MachineChange::Return, returned);
+        self.strike_out_as(MachineChange::Replace, lost);
+    }
+
+    fn strike_out_as(&mut self, change: MachineChange, ids: Vec<MachineId>) {
         let most = self.platform.deployment.state.ops();
         for ids in ids.chunks(most) {
             let mut draft = Draft::default();
@@ -224,7 +232,7 @@
                     _ => draft.delete(key),
                 }
             }
-            self.submit_txn(draft, Purpose::Machines(ids.to_vec()));
+            self.submit_txn(draft, Purpose::Machines(change, ids.to_vec()));
         }
     }
 
@@ -387,7 +395,7 @@
                 draft.put(name, to_value(&members));
             }
         }
-        self.submit_txn(draft, Purpose::Machines(ids));
+        self.submit_txn(draft, Purpose::Machines(MachineChange::Adopt, ids));
     }
 
     /// Clears away, a little at a time, fleets and notes of machines long gone, and batches whose
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -1,7 +1,7 @@
 //! Machines: what their workers report, what they are told, and when they count as lost.
 
 use super::lives::Phase;
-use super::txns::{Draft, Purpose};
+use super::txns::{Draft, MachineChange, Purpose};
 use super::{Core, Effect, Failure, OrdersOutcome, Unbooked, Waiter, WorkerAnswer};
 use crate::bookkeeping::schema::{Hold, Key, MachineRecord, Seat, to_value};
 use crate::protocol::user::Kind;
@@ -1084,7 +1084,12 @@
     }
 
     /// Changes a machine's record under the condition that it is as we know it.
-    pub(super) fn write_machine(&mut self, id: &MachineId, change: impl FnOnce(&mut MachineRecord)) {
+    pub(super) fn write_machine(
+        &mut self,
+        id: &MachineId,
+        what: MachineChange,
+        change: impl FnOnce(&mut MachineRecord),
+    ) {
         let Some(machine) = self.machines.get_mut(id) else { return };
         let Some(held) = self.replica.machines.get(id) else { return };
         if machine.writing {
@@ -1099,7 +1104,7 @@
         let mut draft = Draft::default();
         draft.unchanged(&self.replica, Key::Machine(id.clone()));
         draft.put(Key::Machine(id.clone()), to_value(&record));
-        self.submit_txn(draft, Purpose::Machines(vec![id.clone()]));
+        self.submit_txn(draft, Purpose::Machines(what, vec![id.clone()]));
     }
 
     pub(super) fn set_hold(&mut self, id: &MachineId, hold: Hold) {
@@ -1107,7 +1112,12 @@
         let writing = self.machines.get(id).is_none_or(|m| m.writing);
         if before != Some(Hold::Doomed) && before != Some(hold) && !writing {
             tracing::info!(machine = %id, ?hold, "machine put on hold");
-            self.write_machine(id, |record| record.hold = Some(hold));
+            let what = match hold {
+                Hold::Move(_) => MachineChange::Move,
+                Hold::Retire => MachineChange::Return,
+                Hold::Doomed | Hold::Gone => MachineChange::Replace,
+            };
+            self.write_machine(id, what, |record| record.hold = Some(hold));
         }
     }
 
@@ -1156,7 +1166,7 @@
                 machine.writing = true;
             }
         }
-        self.submit_txn(draft, Purpose::Machines(ids));
+        self.submit_txn(draft, Purpose::Machines(MachineChange::Term, ids));
     }
 
     /// Workers name exited tasks in every message until they may forget them, which takes a new term. Where
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -10,7 +10,7 @@
 //! [`super::versions`].
 
 use super::Core;
-use super::txns::{Draft, Purpose};
+use super::txns::{Draft, MachineChange, Purpose};
 use super::versions::{Mover, mover};
 use crate::bookkeeping::schema::{Hold, Key, MachineRecord, RecordVersion, Seat, to_value};
 use crate::units::{MachineId, Term};
@@ -33,7 +33,7 @@
                 continue;
             }
             for id in machines.occupied {
-                self.write_machine(&id, |record| record.hold = None);
+                self.write_machine(&id, MachineChange::Move, |record| record.hold = None);
             }
             if self.submit_moves(&seats, machines.empty) {
                 // They draw from one counter of terms; the next share's would conflict with these.
@@ -101,7 +101,7 @@
             self.machines.entry(id.clone()).or_default().writing = true;
             ids.push(id);
         }
-        self.submit_txn(draft, Purpose::Machines(ids));
+        self.submit_txn(draft, Purpose::Machines(MachineChange::Move, ids));
         true
     }
 }
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -13,6 +13,21 @@
 use rand::Rng;
 use std::collections::{BTreeMap, VecDeque};
 
+/// What is written about machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum MachineChange {
+    /// They have come up.
+    Adopt,
+    /// They go to another share, or stay after all.
+    Move,
+    /// Nobody needs them any more.
+    Return,
+    /// They are lost.
+    Replace,
+    /// Their orders carry a later term.
+    Term,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Purpose {
     Submit(Vec<JobId>),
@@ -21,7 +36,7 @@
     Cancel(JobId),
     Node,
     Seat,
-    Machines(Vec<MachineId>),
+    Machines(MachineChange, Vec<MachineId>),
     Jobs(Vec<JobId>),
     /// Clearing away what nothing needs any more.
     Tidy,
@@ -35,7 +50,11 @@
             Purpose::Submit(_) | Purpose::Pieces(_) => "submissions",
             Purpose::Cancel(_) => "cancellations",
             Purpose::Node | Purpose::Seat => "seats",
-            Purpose::Machines(_) => "machines",
+            Purpose::Machines(MachineChange::Adopt, _) => "machines adopted",
+            Purpose::Machines(MachineChange::Move, _) => "machines moved",
+            Purpose::Machines(MachineChange::Return, _) => "machines returned",
+            Purpose::Machines(MachineChange::Replace, _) => "machines replaced",
+            Purpose::Machines(MachineChange::Term, _) => "machine terms",
             Purpose::Jobs(_) => "jobs",
             Purpose::Tidy => "tidying",
             Purpose::Sweep => "followers",
@@ -132,7 +151,7 @@
         let patience = match purpose {
             Purpose::Node | Purpose::Seat => return self.send_txn(draft, purpose),
             Purpose::Submit(_) | Purpose::Pieces(_) | Purpose::Cancel(_) => self.policy.user_patience_ms,
-            Purpose::Machines(_) => self.policy.machine_patience_ms,
+            Purpose::Machines(..) => self.policy.machine_patience_ms,
             Purpose::Jobs(_) => self.policy.batch_patience_ms,
             Purpose::Tidy | Purpose::Sweep => self.policy.tidy_patience_ms,
         };
@@ -192,7 +211,7 @@
                 self.txn_over(&pending.purpose, true);
             }
             TxnOutcome::Conflict(revision) => {
-                self.budget.count("conflicts", 1);
+                self.budget.count_conflict(pending.purpose.name(), pending.txn.writes.len());
                 pending.stage = Stage::Reading(revision);
                 self.reads.wanted = true;
                 self.txns_read();
@@ -289,7 +308,7 @@
             Purpose::Pieces(name) => self.pieces_over(name, committed),
             Purpose::Cancel(id) => self.cancel_over(id, committed),
             Purpose::Node | Purpose::Seat => self.seat_txn_over(purpose, !committed),
-            Purpose::Machines(ids) => self.machines_txn_over(ids),
+            Purpose::Machines(_, ids) => self.machines_txn_over(ids),
             Purpose::Tidy | Purpose::Sweep => {}
             Purpose::Jobs(ids) => {
                 for id in ids {
