--- /dev/null
+++ b/src/coordination/capacity.rs
@@ -0,0 +1,383 @@
+//! Planning capacity: which share lacks room for what waits, which machines go to another share, what is rented and
+//! what is returned.
+
+use super::Core;
+use super::jobs::Job;
+use super::leader::{Call, Offer};
+use crate::bookkeeping::schema::{Hold, Seat};
+use crate::protocol::cloud::Rental;
+use crate::protocol::user::{JobSpec, Kind, Priority};
+use crate::units::{MachineId, Micros, Room};
+use std::collections::{BTreeMap, HashMap};
+
+/// A machine's room in the plan.
+pub(super) struct Slot {
+    pub id: Option<MachineId>,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Room,
+    pub untouched: bool,
+}
+
+/// Tasks that found no room in the plan.
+#[derive(Clone)]
+pub(super) struct Unmet {
+    pub share: u32,
+    pub spec: JobSpec,
+    pub count: u64,
+    /// Where the job's other tasks are or will be.
+    pub zones: BTreeMap<String, u64>,
+}
+
+/// One in so many machines is returned at a time, so that a short lull doesn't empty the cluster.
+const RETURN_PART: usize = 100;
+
+impl Core {
+    pub(super) fn plan(&mut self) {
+        let mut unmet: Vec<Unmet> = Vec::new();
+        let mut slots: BTreeMap<u32, Vec<Slot>> = BTreeMap::new();
+        for share in 0..self.shares() {
+            let mut own = self.slots_of(share);
+            self.fill(share, &mut own, &mut unmet);
+            slots.insert(share, own);
+        }
+        // Whoever is most urgent gets what is free, what is coming, and is rented for first.
+        unmet.sort_by_key(|u| std::cmp::Reverse(u.spec.priority));
+        self.leader.need = unmet.clone();
+        self.shift(&mut slots, &mut unmet);
+        let mut boots = self.boot_slots();
+        for u in &mut unmet {
+            u.count -= fit(&u.spec, u.count, &mut boots, &mut u.zones);
+        }
+        unmet.retain(|u| u.count > 0);
+        self.rent_for(&unmet);
+        self.return_idle(&slots, &unmet);
+    }
+
+    fn slots_of(&self, share: u32) -> Vec<Slot> {
+        self.replica
+            .machines
+            .iter()
+            .filter(|(_, r)| r.value.share == share && r.value.hold.is_none())
+            .map(|(id, r)| {
+                let free = self.free_room(id);
+                Slot {
+                    id: Some(id.clone()),
+                    machine_type: r.value.machine_type.clone(),
+                    zone: r.value.zone.clone(),
+                    spot: r.value.spot,
+                    free,
+                    untouched: free == self.machine_room(id),
+                }
+            })
+            .collect()
+    }
+
+    fn boot_slots(&self) -> Vec<Slot> {
+        self.leader
+            .boots
+            .values()
+            .map(|b| Slot {
+                id: None,
+                machine_type: b.machine_type.clone(),
+                zone: b.zone.clone(),
+                spot: b.spot,
+                free: self.types.get(&b.machine_type).map(|t| t.room).unwrap_or_default(),
+                untouched: true,
+            })
+            .collect()
+    }
+
+    /// Fits the waiting tasks of a share into its machines and notes what is left over, as far as
+    /// that is worth machines of its own.
+    pub(super) fn fill(&self, share: u32, slots: &mut [Slot], unmet: &mut Vec<Unmet>) {
+        let mut jobs: Vec<&Job> =
+            self.jobs.values().filter(|j| j.share == share && j.recorded && j.over.is_none()).collect();
+        jobs.sort_by_key(|j| (std::cmp::Reverse(j.urgency.priority), j.ready));
+        let mut batch: Vec<Unmet> = Vec::new();
+        let mut backlog = 0.0;
+        let mut used: HashMap<&str, Room> = HashMap::new();
+        for job in &jobs {
+            if let Some(team) = &job.spec.team {
+                used.entry(team).or_insert_with(|| self.sums.used_by(team));
+            }
+        }
+        for job in &jobs {
+            let waiting = u64::from(job.waiting());
+            let mut count = waiting;
+            if let Some(team) = job.spec.team.as_deref() {
+                let sum = used.entry(team).or_default();
+                count = count.min(self.within_limit_count(team, sum, &job.room));
+                *sum = sum.plus(&job.room.times(count));
+            }
+            // What its team's limit keeps back queues as well, and would be worked off sooner with more machines.
+            let kept_back = waiting - count;
+            if job.spec.kind == Kind::Array {
+                backlog += kept_back as f64 * job.spec.cpus * job.spec.estimate_s.max(5.0);
+            }
+            if count == 0 {
+                continue;
+            }
+            let mut zones = BTreeMap::new();
+            if job.spec.one_zone || job.spec.spread {
+                for live in job.live.values().filter(|l| l.occupies()) {
+                    if let Some(r) = self.replica.machines.get(live.machine()) {
+                        *zones.entry(r.value.zone.clone()).or_default() += 1;
+                    }
+                }
+            }
+            let placed = fit(&job.spec, count, slots, &mut zones);
+            let left = count - placed;
+            if left == 0 {
+                continue;
+            }
+            let rest = Unmet { share, spec: (*job.spec).clone(), count: left, zones };
+            if job.spec.kind == Kind::Array {
+                backlog += left as f64 * job.spec.cpus * job.spec.estimate_s.max(5.0);
+                batch.push(rest);
+            } else {
+                unmet.push(rest);
+            }
+        }
+        self.add_spare(&jobs, share, slots, unmet);
+        // Batch work may queue as long as what the share has works it off in time.
+        let drain = Micros::from_millis(self.policy.drain_ms).secs();
+        let running: f64 = jobs
+            .iter()
+            .filter(|j| j.spec.kind == Kind::Array)
+            .map(|j| j.spec.cpus * f64::from(j.live.occupying()))
+            .sum();
+        let mut wanted = backlog / drain - running;
+        for mut rest in batch {
+            if wanted <= 0.0 {
+                break;
+            }
+            rest.count = rest.count.min((wanted / rest.spec.cpus.max(0.01)).ceil() as u64);
+            wanted -= rest.count as f64 * rest.spec.cpus;
+            unmet.push(rest);
+        }
+    }
+
+    fn within_limit_count(&self, team: &str, used: &Room, each: &Room) -> u64 {
+        let Some(team) = self.platform.deployment.team(team) else { return u64::MAX };
+        let limit = Room::new(team.cpus_max, team.gpus_max, 0.0);
+        let by = |limit: u64, used: u64, each: u64| {
+            if limit == 0 || each == 0 { u64::MAX } else { limit.saturating_sub(used) / each }
+        };
+        by(limit.cpus, used.cpus, each.cpus).min(by(limit.gpus, used.gpus, each.gpus))
+    }
+
+    /// Room for a few more of the largest services, so that the next one starts at once.
+    fn add_spare(&self, jobs: &[&Job], share: u32, slots: &mut [Slot], unmet: &mut Vec<Unmet>) {
+        let services = jobs.iter().filter(|j| j.spec.kind == Kind::Service);
+        let Some(largest) = services.max_by_key(|j| j.room.cpus) else { return };
+        // Lower work running there can make way as well.
+        let preemptible = jobs
+            .iter()
+            .filter(|j| j.spec.kind == Kind::Array && j.spec.priority < Priority::High)
+            .map(|j| j.room.cpus * u64::from(j.live.occupying()))
+            .sum::<u64>()
+            / largest.room.cpus.max(1);
+        let count = u64::from(self.policy.spare_tasks).saturating_sub(preemptible / 2);
+        let mut spec = (*largest.spec).clone();
+        spec.spread = false;
+        spec.one_zone = false;
+        let left = count - fit(&spec, count, slots, &mut BTreeMap::new());
+        if left > 0 {
+            unmet.push(Unmet { share, spec, count: left, zones: BTreeMap::new() });
+        }
+    }
+
+    /// Machines a share doesn't need go to shares whose tasks wait.
+    fn shift(&mut self, slots: &mut BTreeMap<u32, Vec<Slot>>, unmet: &mut [Unmet]) {
+        let now = self.now();
+        let patience = Micros::from_millis(self.policy.shift_after_ms);
+        let mut moves = Vec::new();
+        // Each move costs two changes, which starts and submissions need more.
+        let moving = self.replica.machines.values().filter(|m| matches!(m.value.hold, Some(Hold::Move(_)))).count();
+        let most = ((self.platform.deployment.state.write_rps * self.policy.shift_part) as usize).max(1);
+        let most = most.saturating_sub(moving);
+        for u in unmet.iter_mut() {
+            let urgent = u.spec.priority > Priority::Normal;
+            let free_enough = |s: &Slot| {
+                let machine = s.id.as_ref().and_then(|id| self.machines.get(id));
+                urgent || machine.and_then(|m| m.free_since).is_some_and(|since| now.since(since) >= patience)
+            };
+            for (from, own) in slots.iter_mut().filter(|(s, _)| **s != u.share) {
+                for slot in own.iter_mut().filter(|s| s.untouched && free_enough(s)) {
+                    if u.count == 0 || moves.len() >= most {
+                        break;
+                    }
+                    let taken = fit(&u.spec, u.count, std::slice::from_mut(slot), &mut u.zones);
+                    if taken > 0 {
+                        u.count -= taken;
+                        slot.untouched = false;
+                        moves.push((slot.id.clone(), *from, u.share));
+                    }
+                }
+            }
+        }
+        for (id, from, to) in moves {
+            if let Some(id) = id {
+                tracing::debug!(machine = %id, from, to, "shifting");
+                self.set_hold_of(&id, Hold::Move(to));
+            }
+        }
+    }
+
+    fn rent_for(&mut self, unmet: &[Unmet]) {
+        let now = self.now();
+        let in_flight = self.leader.calls.values().chain(self.leader.again.iter().map(|(_, c)| c));
+        // Until the answer is here it isn't known what is coming.
+        if in_flight.into_iter().any(|c| matches!(c, Call::Rent(..))) {
+            return;
+        }
+        self.leader.refused.retain(|_, until| *until > now);
+        let by_size = (self.replica.machines.len() as f64 * self.policy.boots_part) as u64;
+        let most = u64::from(self.policy.boots_max).max(by_size);
+        let mut room_left = most.saturating_sub(self.leader.boots.len() as u64);
+        let mut orders: BTreeMap<Offer, u32> = BTreeMap::new();
+        // Counted once: a walk over all machines for each one to be rented took most of a second.
+        let mut by_zone: BTreeMap<String, u64> = BTreeMap::new();
+        for record in self.replica.machines.values() {
+            match by_zone.get_mut(&record.value.zone) {
+                Some(count) => *count += 1,
+                None => *by_zone.entry(record.value.zone.clone()).or_default() = 1,
+            }
+        }
+        let mut fresh: Vec<Slot> = Vec::new();
+        for u in unmet {
+            let mut zones = u.zones.clone();
+            let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut zones);
+            while count > 0 && room_left > 0 {
+                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &by_zone) else { break };
+                let mut slot = Slot {
+                    id: None,
+                    machine_type: offer.0.clone(),
+                    zone: offer.1.clone(),
+                    spot: offer.2,
+                    free: room,
+                    untouched: true,
+                };
+                let taken = fit(&u.spec, count, std::slice::from_mut(&mut slot), &mut zones);
+                if taken == 0 {
+                    break;
+                }
+                count -= taken;
+                fresh.push(slot);
+                *by_zone.entry(offer.1.clone()).or_default() += 1;
+                *orders.entry(offer).or_default() += 1;
+                room_left -= 1;
+            }
+        }
+        let term = self.held(Seat::Leader).unwrap_or_default();
+        for (offer, count) in orders {
+            self.leader.charters += 1;
+            // The term is this process's alone, so the name never comes again.
+            let request = format!("r-{}-{}", term.0, self.leader.charters);
+            let (machine_type, zone, spot) = offer;
+            let rental = Rental { request, machine_type, zone, spot, count: count.min(50) };
+            self.cloud(Call::Rent(rental, 0));
+        }
+    }
+
+    /// The offer with the lowest price for each task it can hold. `by_zone`: machines there are and
+    /// are to be.
+    fn cheapest(
+        &self,
+        spec: &JobSpec,
+        zones: &BTreeMap<String, u64>,
+        by_zone: &BTreeMap<String, u64>,
+    ) -> Option<(Offer, Room)> {
+        let need = spec.room();
+        let most = u64::from(spec.tasks.div_ceil(2));
+        let zone_allowed = |zone: &String| {
+            spec.zone.as_ref().is_none_or(|want| want == zone)
+                && (!spec.one_zone || zones.keys().all(|z| z == zone))
+                && (!spec.spread || zones.get(zone).copied().unwrap_or(0) < most)
+        };
+        let mut best: Option<((u64, u64), Offer, Room)> = None;
+        for info in self.types.values() {
+            if spec.types.as_ref().is_some_and(|t| !t.contains(&info.wire.name)) || !need.fits_in(&info.room) {
+                continue;
+            }
+            let tasks = count_in(&need, &info.room).max(1);
+            for zone in info.wire.zones.iter().filter(|z| zone_allowed(z)) {
+                for spot in [false, true] {
+                    let offer = (info.wire.name.clone(), zone.clone(), spot);
+                    if (spot && !spec.spot) || self.leader.refused.contains_key(&offer) {
+                        continue;
+                    }
+                    let price = if spot { info.wire.spot_price.unwrap_or(info.wire.price) } else { info.wire.price };
+                    let cost = (price / tasks as f64 * 1e6) as u64;
+                    // Among equals the zone with the fewest machines.
+                    let here = by_zone.get(zone).copied().unwrap_or(0);
+                    if best.as_ref().is_none_or(|(b, ..)| (cost, here) < *b) {
+                        best = Some(((cost, here), offer, info.room));
+                    }
+                }
+            }
+        }
+        best.map(|(_, offer, room)| (offer, room))
+    }
+
+    /// Machines that nothing needs, and nothing has used for a while, are returned.
+    fn return_idle(&mut self, slots: &BTreeMap<u32, Vec<Slot>>, unmet: &[Unmet]) {
+        let now = self.now();
+        if !unmet.is_empty() {
+            return;
+        }
+        let idle = Micros::from_millis(self.policy.idle_return_ms);
+        let ids: Vec<MachineId> = slots
+            .values()
+            .flatten()
+            .filter(|s| s.untouched)
+            .filter_map(|s| s.id.clone())
+            .filter(|id| {
+                let free = self.machines.get(id).and_then(|m| m.free_since);
+                free.is_some_and(|since| now.since(since) >= idle)
+            })
+            .take((self.replica.machines.len() / RETURN_PART).max(2))
+            .collect();
+        for id in ids {
+            self.set_hold_of(&id, Hold::Retire);
+        }
+    }
+}
+
+fn count_in(each: &Room, room: &Room) -> u64 {
+    let by = |each: u64, room: u64| room.checked_div(each).unwrap_or(u64::MAX);
+    by(each.cpus, room.cpus).min(by(each.gpus, room.gpus)).min(by(each.memory, room.memory))
+}
+
+/// Puts up to `count` tasks into the slots, first fit, and says how many found room. `zones`
+/// counts the job's tasks by zone.
+pub(super) fn fit(spec: &JobSpec, count: u64, slots: &mut [Slot], zones: &mut BTreeMap<String, u64>) -> u64 {
+    let each = spec.room();
+    let most = u64::from(spec.tasks.div_ceil(2));
+    let mut placed = 0;
+    for slot in slots.iter_mut() {
+        if placed == count {
+            break;
+        }
+        let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&slot.machine_type))
+            && spec.zone.as_ref().is_none_or(|z| *z == slot.zone)
+            && (spec.spot || !slot.spot)
+            && (!spec.one_zone || zones.keys().all(|z| *z == slot.zone));
+        if !allowed {
+            continue;
+        }
+        let mut n = count_in(&each, &slot.free).min(count - placed);
+        if spec.spread {
+            n = n.min(most.saturating_sub(zones.get(&slot.zone).copied().unwrap_or(0)));
+        }
+        if n > 0 {
+            slot.free = slot.free.minus(&each.times(n));
+            slot.untouched = false;
+            placed += n;
+            *zones.entry(slot.zone.clone()).or_default() += n;
+        }
+    }
+    placed
+}
--- /dev/null
+++ b/src/coordination/failure_detector.rs
@@ -0,0 +1,312 @@
+//! Which machines have failed: leases that have run out, probes, and the decision to replace a machine.
+
+use super::Core;
+use super::lives::Phase;
+use super::machines::Machine;
+use crate::bookkeeping::schema::Hold;
+use crate::protocol::worker::DirectOrders;
+use crate::units::{MachineId, Micros, Term};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// With fewer silent machines in a zone nothing is concluded about the zone.
+const ZONE_LOST_LEAST: usize = 3;
+
+/// Machines of a zone that are asked each time machines are looked over, while one of it fails to answer.
+const WIDENED: usize = 3;
+
+/// When machines were last heard: those that failed to answer since, and all. Those that were not
+/// asked since and whose report isn't due tell nothing. Sorted once, as with hundreds silent a walk
+/// over all for each would stop everything else.
+struct Contacts {
+    failing: Vec<Micros>,
+    all: Vec<Micros>,
+}
+
+impl Contacts {
+    fn of<'a>(machines: impl Iterator<Item = &'a Machine>) -> Contacts {
+        let (mut failing, mut all) = (Vec::new(), Vec::new());
+        for machine in machines {
+            // Those of a share just taken were not heard yet, though their silence counts from then.
+            let heard = if machine.fenced { machine.heard } else { Micros::ZERO };
+            all.push(heard);
+            if machine.probes_failed > 0 {
+                failing.push(heard);
+            }
+        }
+        failing.sort_unstable();
+        all.sort_unstable();
+        Contacts { failing, all }
+    }
+
+    /// How many have failed to answer and were not heard after a moment, and how many were.
+    fn since(&self, moment: Micros) -> (usize, usize) {
+        let lost = self.failing.partition_point(|at| *at <= moment);
+        (lost, self.all.len() - self.all.partition_point(|at| *at <= moment))
+    }
+}
+
+impl Core {
+    /// A worker whose lease has surely run out has killed its tasks. Only our answers can have
+    /// renewed it once it has shown our token.
+    pub(super) fn expire_leases(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let lease_s = self.platform.deployment.workers.lease_s;
+        let lease = Micros::from_secs_f64(lease_s * 1.002 + 1.0);
+        for id in ours {
+            let Some(machine) = self.machines.get(id) else { continue };
+            if !machine.fenced || now.since(machine.answered) <= lease {
+                continue;
+            }
+            let session = machine.session;
+            for (job, task) in self.sums.starts_on(id) {
+                let expired = self
+                    .jobs
+                    .get(&job)
+                    .and_then(|j| j.live.get(task))
+                    .is_some_and(|l| l.session <= session && l.phase() != Phase::Proposed);
+                if expired {
+                    self.start_gone(&job, task);
+                }
+            }
+        }
+    }
+
+    /// Asks for a sign of life: machines that didn't answer or whose report is late, and between their
+    /// reports those with services, whose loss is felt at once. The latter only as far as the rate of
+    /// probes allows, those heard longest ago first: a controller that holds all shares would do little
+    /// else. What has no place now comes first in the next round.
+    pub(super) fn probe(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let early = Micros::from_millis(self.policy.probe_after_ms);
+        let late = Micros::from_secs_f64(self.platform.deployment.workers.report_s * self.policy.report_late_part);
+        let mut due: Vec<(bool, Micros, &MachineId)> = Vec::new();
+        let mut quiet: BTreeMap<&str, Vec<(Micros, &MachineId)>> = BTreeMap::new();
+        let mut doubted: BTreeSet<&str> = BTreeSet::new();
+        for id in ours {
+            let (Some(machine), Some(record)) = (self.machines.get(id), self.replica.machines.get(id)) else {
+                continue;
+            };
+            let zone = record.value.zone.as_str();
+            if machine.unanswered > 0 {
+                doubted.insert(zone);
+            }
+            let silence = now.since(machine.heard);
+            // Also one that reports but did not answer the last message.
+            let suspect = machine.unanswered > 0 || machine.ask || silence >= late.max(early);
+            if machine.direct || now < machine.next_probe || !(suspect || silence >= early) {
+                continue;
+            }
+            if suspect || self.sums.serves(id) {
+                due.push((!suspect, machine.heard, id));
+            } else {
+                quiet.entry(zone).or_default().push((machine.heard, id));
+            }
+        }
+        // Where one fails to answer, a few others of its zone are asked at once, whatever they run: whether
+        // one machine is lost or all are cut off must show before anything is decided.
+        for zone in doubted {
+            let mut others = quiet.remove(zone).unwrap_or_default();
+            others.sort_unstable();
+            due.extend(others.into_iter().take(WIDENED).map(|(heard, id)| (false, heard, id)));
+            let routine = due.iter_mut().filter(|(routine, _, id)| {
+                *routine && self.replica.machines.get(*id).is_some_and(|m| m.value.zone == zone)
+            });
+            routine.take(WIDENED).for_each(|(routine, ..)| *routine = false);
+        }
+        due.sort_unstable();
+        let rate = self.policy.probes_per_s;
+        self.probes_left = (self.probes_left + now.since(self.probed_at).secs() * rate).min(rate.max(1.0));
+        self.probed_at = now;
+        for (routine, _, id) in due {
+            if self.direct_open >= self.direct_most || (routine && self.probes_left < 1.0) {
+                break;
+            }
+            if routine {
+                self.probes_left -= 1.0;
+            }
+            let Some(token) = self.token(id) else { continue };
+            let Some(machine) = self.machines.get_mut(id) else { continue };
+            let Some(addr) = machine.addr else { continue };
+            machine.next_probe = now + Micros::from_millis(self.policy.probe_ms);
+            let session = machine.session.max(1);
+            self.send_direct(id, addr, DirectOrders { token, session, orders: Vec::new() });
+        }
+    }
+
+    /// Asks a machine that is not in the books for a sign of life. The token 0 moves nobody to
+    /// anything.
+    pub(super) fn ask_for_life(&mut self, id: &MachineId, addr: Option<&str>) {
+        let Some(addr) = addr.and_then(|a| a.parse().ok()) else { return };
+        let now = self.now();
+        let machine = self.machines.entry(id.clone()).or_default();
+        if machine.direct || now < machine.next_probe || self.direct_open >= self.direct_most {
+            return;
+        }
+        machine.next_probe = now + Micros::from_millis(self.policy.probe_ms);
+        self.send_direct(id, addr, DirectOrders { token: Term(0), session: 0, orders: Vec::new() });
+    }
+
+    /// Asks a few machines of whatever share for a sign of life. The token 0 moves nobody to
+    /// anything.
+    pub(super) fn look_for_machines(&mut self) {
+        let every = (self.replica.machines.len() / 4).max(1);
+        let ids: Vec<MachineId> = self.replica.machines.keys().step_by(every).cloned().collect();
+        for id in ids {
+            let Some(machine) = self.machines.get(&id) else { continue };
+            if let Some(addr) = machine.addr.filter(|_| !machine.direct) {
+                self.send_direct(&id, addr, DirectOrders { token: Term(0), session: 0, orders: Vec::new() });
+            }
+        }
+    }
+
+    /// A single machine gone silent is deleted, which proves its tasks gone sooner than its lease
+    /// would. If many are silent the fault is ours or a cut's, and they may come back.
+    pub(super) fn replace_silent(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let after = Micros::from_millis(self.policy.replace_after_ms);
+        let silent: Vec<MachineId> = ours
+            .iter()
+            .filter(|id| {
+                self.machines
+                    .get(*id)
+                    .is_some_and(|m| m.probes_failed >= self.policy.probes_failed && now.since(m.heard) >= after)
+            })
+            .cloned()
+            .collect();
+        // Never heard since we took the share, for longer than a lease: nothing but a deletion can
+        // prove its tasks gone, however many are silent.
+        let lease = Micros::from_secs_f64(self.platform.deployment.workers.lease_s * 1.002 + 2.0);
+        let lost: Vec<MachineId> = silent
+            .iter()
+            .filter(|id| self.machines.get(*id).is_some_and(|m| !m.fenced && now.since(m.heard) >= lease))
+            .cloned()
+            .collect();
+        for id in &lost {
+            self.set_hold(id, Hold::Doomed);
+        }
+        // Machines go silent one by one even if all are cut off at once, as each was last heard at
+        // a moment of its own. So the others must have been heard well after this one fell silent.
+        let gap = Micros::from_millis(self.policy.probe_after_ms + self.policy.probe_ms);
+        if self.many_deaf.is_some_and(|at| now.since(at) < after) {
+            return;
+        }
+        if silent.is_empty() {
+            return;
+        }
+        let others = Contacts::of(ours.iter().filter_map(|id| self.machines.get(id)));
+        let mut zones: BTreeMap<&str, Contacts> = BTreeMap::new();
+        let mut lost_for_good = Vec::new();
+        let mut cut: BTreeSet<String> = BTreeSet::new();
+        let mut many_silent = false;
+        for id in silent {
+            let Some(last) = self.machines.get(&id).map(|m| m.heard) else { continue };
+            let Some(zone) = self.replica.machines.get(&id).map(|m| m.value.zone.as_str()) else { continue };
+            let in_zone = zones.entry(zone).or_insert_with(|| {
+                let there = |id: &&MachineId| self.replica.machines.get(*id).is_some_and(|m| m.value.zone == zone);
+                Contacts::of(ours.iter().filter(there).filter_map(|id| self.machines.get(id)))
+            });
+            let (lost, heard) = others.since(last + gap);
+            let (lost_there, heard_there) = in_zone.since(last + gap);
+            // It is itself among the lost.
+            let (lost, all) = (lost.saturating_sub(1), (lost + heard).saturating_sub(1));
+            // With hardly any other to compare with, more patience.
+            let alone = all < 2 && now.since(last) < Micros(after.0 * 3);
+            // In a small share one other may well be lost too, but if none at all was heard the fault is ours.
+            let many = lost as f64 > (all as f64 * self.policy.replace_max_part).max(1.0) || (all >= 2 && heard == 0);
+            // Most of its zone and hardly anything else: the zone is cut off, its machines work on.
+            let zone_lost = lost_there >= ZONE_LOST_LEAST
+                && lost_there as f64 > (lost_there + heard_there) as f64 * self.policy.zone_max_part;
+            // When a cut ends, its machines are heard again one by one, and the last need a while.
+            let zone_was_lost = self.zones_cut.get(zone).is_some_and(|at| now.since(*at) < after);
+            if many {
+                many_silent = true;
+            } else if zone_lost {
+                cut.insert(zone.to_string());
+            } else if !alone && !zone_was_lost {
+                lost_for_good.push(id);
+            }
+        }
+        self.zones_cut.extend(cut.into_iter().map(|zone| (zone, now)));
+        if many_silent {
+            self.many_deaf = Some(now);
+            return;
+        }
+        for id in lost_for_good {
+            self.set_hold(&id, Hold::Doomed);
+        }
+    }
+
+    /// How many machines fail to answer, and of how many that can be said: of those that heard something
+    /// since the first of them fell silent, too. The rest were sent nothing.
+    fn deaf_of(&self, ours: &[MachineId]) -> (usize, usize) {
+        let machines = || ours.iter().filter_map(|id| self.machines.get(id));
+        let deaf = || machines().filter(|m| m.unanswered >= 2);
+        let Some(since) = deaf().map(|m| m.unanswered_since).min() else { return (0, ours.len()) };
+        let count = deaf().count();
+        (count, count + machines().filter(|m| m.unanswered < 2 && m.heard_us > since).count())
+    }
+
+    /// Machines that can send but not hear look alive in turns, and when such a time ends they are heard
+    /// again one by one. While many fail to answer, and a while after, none is judged by that.
+    pub(super) fn judge_deaf(&mut self, ours: &[MachineId]) {
+        let (deaf, known) = self.deaf_of(ours);
+        if deaf as f64 > (known as f64 * self.policy.replace_max_part).max(2.0) {
+            self.many_deaf = Some(self.now());
+        }
+    }
+
+    /// A machine whose reports arrive though nothing reaches it: its lease runs out again and again,
+    /// and whatever it is given is lost. Replaced like a silent one, unless many are so at once:
+    /// then the fault is our own network.
+    pub(super) fn replace_deaf(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let span = Micros::from_millis(self.policy.mute_after_ms);
+        let deaf_long: Vec<MachineId> = ours
+            .iter()
+            .filter(|id| self.machines.get(*id).is_some_and(|m| m.is_deaf(now, self.policy.mute_probes, span)))
+            .cloned()
+            .collect();
+        if deaf_long.is_empty() {
+            return;
+        }
+        // Some fall silent a little later than others: those on their way there count as well, and at
+        // least one other must have heard something.
+        let (deaf, known) = self.deaf_of(ours);
+        let most = (known as f64 * self.policy.replace_max_part).max(1.0);
+        let many = self.many_deaf.is_some_and(|at| now.since(at) < span);
+        if !many && deaf as f64 <= most && known > deaf {
+            for id in &deaf_long {
+                self.set_hold(id, Hold::Doomed);
+            }
+        }
+    }
+
+    /// Without a report for so long a machine's reports are taken not to get through: the next is due, and a few
+    /// controllers may have to be tried in vain.
+    pub(super) fn unreported_span(&self) -> Micros {
+        let report = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 1.25);
+        report + Micros::from_millis(self.policy.unreported_ms)
+    }
+
+    /// A machine whose reports reach no controller is replaced while its lease lasts, unless many are so: then
+    /// the fault is elsewhere.
+    pub(super) fn replace_mute(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let span = self.unreported_span();
+        let mute: Vec<MachineId> =
+            ours.iter().filter(|id| self.machines.get(*id).is_some_and(|m| m.is_mute(now, span))).cloned().collect();
+        // Their last reports came at different moments: those on their way there count as well.
+        let half = span - Micros(Micros::from_millis(self.policy.unreported_ms).0 / 2);
+        let late = ours.iter().filter(|id| self.machines.get(*id).is_some_and(|m| m.is_mute(now, half))).count();
+        if late as f64 > (ours.len() as f64 * self.policy.replace_max_part).max(1.0) {
+            self.many_mute = Some(now);
+        }
+        // When such a time ends they are heard again one by one.
+        if mute.is_empty() || self.many_mute.is_some_and(|at| now.since(at) < span) {
+            return;
+        }
+        for id in &mute {
+            self.set_hold(id, Hold::Doomed);
+        }
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,17 +6,25 @@
 
 pub mod budget;
 mod cancellations;
+mod capacity;
+mod draining;
+mod failure_detector;
 mod jobs;
 mod leader;
 pub mod lives;
+mod machine_terms;
 mod machines;
 mod moves;
+mod orders;
 pub mod pipelines;
 pub mod placement;
 mod reads;
 mod records;
+mod registration;
+mod reports;
 mod seats;
 mod stages;
+mod tidying;
 mod txns;
 mod users;
 pub mod versions;
--- /dev/null
+++ b/src/coordination/orders.rs
@@ -0,0 +1,187 @@
+//! Orders to workers: what a machine is to be told, in the answer to its report or in a direct message, and what the
+//! answer to such a message proves.
+
+use super::lives::Phase;
+use super::{Core, Effect, Failure, OrdersOutcome};
+use crate::bookkeeping::schema::Hold;
+use crate::protocol::worker::{DirectOrders, Order};
+use crate::units::{MachineId, Micros};
+use std::net::SocketAddr;
+
+/// Commands in one message at most, so that it stays below the size limit.
+pub(super) const ORDERS_MAX: usize = 300;
+
+impl Core {
+    pub(super) fn want_push(&mut self, id: &MachineId) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.push = true;
+            machine.push_after = Micros::ZERO;
+            self.pushes.insert(id.clone());
+        }
+    }
+
+    /// The machine is to be told something that can wait a moment for its next report: machines with
+    /// work report often, and each direct message costs as much as a report.
+    pub(super) fn want_push_soon(&mut self, id: &MachineId) {
+        let after = self.now() + Micros::from_millis(self.policy.batch_push_ms);
+        if let Some(machine) = self.machines.get_mut(id)
+            && !machine.push
+        {
+            machine.push = true;
+            machine.push_after = after;
+            self.pushes_later.insert((after, id.clone()));
+        }
+    }
+
+    /// Everything the machine is to be told now. For an answer to a report, `seq` is the
+    /// report's number.
+    pub(super) fn orders_for(&mut self, id: &MachineId, seq: Option<u64>) -> Vec<Order> {
+        let Some(machine) = self.machines.get(id) else { return Vec::new() };
+        let doomed = self.replica.machines.get(id).is_none_or(|m| m.value.hold == Some(Hold::Doomed));
+        let mut orders = Vec::new();
+        // A copy of a start may be on its way: then forgetting the task would let it start again.
+        let may_forget = machine.doubt.is_none() && !machine.direct;
+        for stray in &machine.strays {
+            let (task, attempt) = (stray.task.clone(), stray.attempt);
+            if !stray.exited {
+                orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
+            } else if may_forget && stray.forgettable() {
+                orders.push(Order::Forget { task, attempt });
+            }
+        }
+        let starts = self.sums.starts_on(id);
+        let session = machine.session;
+        let mut never_sent = Vec::new();
+        for (job_id, index) in starts {
+            let Some(job) = self.jobs.get_mut(&job_id) else { continue };
+            let Some(live) = job.live.get_mut(index) else { continue };
+            if live.session != session {
+                continue;
+            }
+            let task = format!("{job_id}/{index}");
+            let attempt = live.attempt;
+            match (live.phase(), live.stop) {
+                (Phase::Recorded, None) if !doomed => {
+                    live.sent = true;
+                    orders.push(Order::Start { task, attempt });
+                }
+                (Phase::Recorded, Some(_)) if !live.sent => {
+                    never_sent.push((job_id, index));
+                    continue;
+                }
+                (Phase::Recorded | Phase::Fetching | Phase::Waiting | Phase::Running, Some(grace_s)) => {
+                    orders.push(Order::Stop { task, attempt, grace_s });
+                }
+                (Phase::Saving, Some(0.0)) => orders.push(Order::Stop { task, attempt, grace_s: 0.0 }),
+                _ => continue,
+            }
+            if let Some(seq) = seq {
+                live.seq = live.seq.max(seq);
+            }
+            if orders.len() >= ORDERS_MAX {
+                break;
+            }
+        }
+        for (job, task) in never_sent {
+            self.start_gone(&job, task);
+        }
+        orders
+    }
+
+    /// Sends what can't wait for the next report.
+    pub(super) fn push_orders(&mut self) {
+        let now = self.now();
+        let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 2.0);
+        while self.pushes_later.first().is_some_and(|(at, _)| *at <= now) {
+            self.pushes.extend(self.pushes_later.pop_first().map(|(_, id)| id));
+        }
+        for id in std::mem::take(&mut self.pushes) {
+            let Some(machine) = self.machines.get(&id).filter(|m| m.push && m.push_after <= now) else { continue };
+            if machine.direct || self.direct_open >= self.direct_most {
+                // Once the message on its way is answered, or there is room for one more.
+                self.pushes.insert(id);
+                continue;
+            }
+            let Some(token) = self.token(&id) else {
+                if let Some(machine) = self.machines.get_mut(&id) {
+                    machine.push = false;
+                }
+                continue;
+            };
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            machine.push = false;
+            let Some(addr) = machine.addr else { continue };
+            // Nothing is said to a machine that did not answer last time: it would only be in doubt.
+            let alive = now.since(machine.heard) < recent && machine.unanswered == 0;
+            let fenced = machine.fenced;
+            let session = machine.session.max(1);
+            // Without a report under our token an empty message makes the worker show it.
+            let orders = if fenced && alive { self.orders_for(&id, None) } else { Vec::new() };
+            if fenced && orders.is_empty() {
+                continue;
+            }
+            self.send_direct(&id, addr, DirectOrders { token, session, orders });
+        }
+    }
+
+    pub(super) fn send_direct(&mut self, id: &MachineId, addr: SocketAddr, orders: DirectOrders) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.direct = true;
+            machine.direct_token = orders.token;
+            machine.direct_after = (machine.session, machine.seq);
+            machine.ask = false;
+        }
+        self.direct_open += 1;
+        self.out.push(Effect::Orders { machine: id.clone(), addr, orders });
+    }
+
+    pub(super) fn orders_outcome(&mut self, id: &MachineId, outcome: OrdersOutcome) {
+        self.direct_open = self.direct_open.saturating_sub(1);
+        let token = self.token(id);
+        let now = self.now();
+        let booked = self.replica.machines.contains_key(id);
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.direct = false;
+        if let OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) = &outcome
+            && report.machine == *id
+        {
+            machine.hears(now);
+            if !booked && self.is_leader() {
+                self.leader.alive.insert(id.clone(), now);
+                return;
+            }
+        }
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let looking = self.seats.unfit || self.seats.looking_since.is_some();
+        if looking && matches!(outcome, OrdersOutcome::Done(_) | OrdersOutcome::Rejected(_)) {
+            self.seats.answered += 1;
+        }
+        match outcome {
+            OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) => {
+                if report.machine != *id || token.is_none_or(|t| report.token > t) {
+                    machine.outranked |= report.machine == *id;
+                    self.reads.wanted = true;
+                    return;
+                }
+                // It answered what was sent after its newest message, and yet shows a smaller number: its
+                // worker began anew and what was on it is gone. Sessions can't tell, a deletion can.
+                let regressed = (report.session, report.seq) <= machine.direct_after;
+                if regressed {
+                    tracing::warn!(machine = %id, "the worker has forgotten its session");
+                    self.set_hold(id, Hold::Doomed);
+                    return;
+                }
+                let wrong_session = report.session != machine.session;
+                self.take_report(&report, false);
+                if wrong_session {
+                    self.want_push(id);
+                }
+            }
+            OrdersOutcome::Failed(Failure::NotDone) => machine.message_failed(now),
+            OrdersOutcome::Failed(Failure::Unknown) => {
+                machine.message_failed(now);
+                machine.doubt = machine.doubt.max(Some(machine.direct_token));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/registration.rs
@@ -0,0 +1,147 @@
+//! Registering machines: those that report and have no record yet, which have come up or come back.
+
+use super::capacity::{Slot, fit};
+use super::txns::{CONDITIONS_PER_WRITE, Draft, MachineChange, Purpose};
+use super::users::VALUE_FILL;
+use super::{Core, Effect};
+use crate::bookkeeping::schema::{FleetMember, Key, MachineRecord, Seat, to_value};
+use crate::protocol::worker::Report;
+use crate::units::{MachineId, Micros, Term};
+
+/// So long a machine's answer counts as a sign that it exists.
+const ALIVE_SPAN: Micros = Micros::from_millis(5000);
+
+impl Core {
+    /// Machines that report and have no record get one, in the share that needs them most.
+    pub(super) fn adopt(&mut self) {
+        let mut members: Vec<FleetMember> = Vec::new();
+        let mut refused = Vec::new();
+        let limits = self.platform.deployment.state.clone();
+        let room = (limits.least_value_kb() * 1024.0 * VALUE_FILL) as usize;
+        let mut size = 0;
+        let reports: Vec<_> = self.unbooked.iter().map(|held| held.report.clone()).collect();
+        let now = self.now();
+        self.leader.alive.retain(|_, at| now.since(*at) < ALIVE_SPAN);
+        for report in reports {
+            let id = report.machine.clone();
+            if self.replica.machines.contains_key(&id) || members.iter().any(|m| m.id == id) {
+                continue;
+            }
+            let deleted = self.leader.deleting.contains(&id) || self.leader.deleted.contains_key(&id);
+            if deleted || self.replica.is_gone(&id) {
+                // It reports after its deletion: an old report, or the deletion missed it.
+                refused.push(id);
+                continue;
+            }
+            if self.machines.get(&id).is_some_and(|m| m.adopting) {
+                continue;
+            }
+            // A report may be a late copy, and its machine long gone. Only one that answers when
+            // asked is taken in.
+            if !self.leader.alive.contains_key(&id) {
+                self.ask_for_life(&id, report.addr.as_deref());
+                continue;
+            }
+            let share = self.neediest_share(&report, &members);
+            let record = MachineRecord {
+                share,
+                term: Term(0),
+                machine_type: report.machine_type.clone(),
+                zone: report.zone.clone(),
+                spot: report.spot,
+                addr: report.addr.clone().unwrap_or_default(),
+                hold: None,
+            };
+            let member = FleetMember { id, record };
+            let more = serde_json::to_string(&member).map_or(room, |text| text.len() + 1);
+            // The seat's condition and the fleet's own leave room for so many machines'.
+            if size + more > room || members.len() + 2 == limits.ops() * CONDITIONS_PER_WRITE {
+                break;
+            }
+            size += more;
+            members.push(member);
+        }
+        if !members.is_empty() {
+            self.take_in(members);
+        }
+        self.unbooked.retain(|held| {
+            let keep = !refused.contains(&held.report.machine);
+            if !keep {
+                self.out.push(Effect::AnswerWorker(held.waiter, super::WorkerAnswer::Unavailable));
+            }
+            keep
+        });
+    }
+
+    /// Writes down machines that are not in the books, all in one value unless it is a single one.
+    fn take_in(&mut self, members: Vec<FleetMember>) {
+        let mut draft = Draft::default();
+        draft.unchanged(&self.replica, Key::Seat(Seat::Leader));
+        let ids: Vec<MachineId> = members.iter().map(|m| m.id.clone()).collect();
+        for id in &ids {
+            self.machines.entry(id.clone()).or_default().adopting = true;
+            self.leader.boots.remove(id);
+            draft.unchanged(&self.replica, Key::Machine(id.clone()));
+        }
+        match &members[..] {
+            [single] => draft.put(Key::Machine(single.id.clone()), to_value(&single.record)),
+            _ => {
+                let name = Key::Fleet(format!("{:x}", self.nonce()));
+                draft.unchanged(&self.replica, name.clone());
+                draft.put(name, to_value(&members));
+            }
+        }
+        self.submit_txn(draft, Purpose::Machines(MachineChange::Adopt, ids));
+    }
+
+    /// The share with the most unmet need, else the one with the least room for its teams.
+    fn neediest_share(&mut self, report: &Report, taken_in: &[FleetMember]) -> u32 {
+        let cpus = self.types.get(&report.machine_type).map_or(1_000_000, |t| t.room.cpus);
+        // The most urgent tasks that it can really take decide, wherever else room is lacking.
+        let mut slot = Slot {
+            id: None,
+            machine_type: report.machine_type.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            free: self.types.get(&report.machine_type).map(|t| t.room).unwrap_or_default(),
+            untouched: true,
+        };
+        let mut chosen = None;
+        for need in &mut self.leader.need {
+            if chosen.is_none_or(|share| share == need.share) {
+                let taken = fit(&need.spec, need.count, std::slice::from_mut(&mut slot), &mut need.zones);
+                need.count -= taken;
+                if taken > 0 {
+                    chosen = Some(need.share);
+                }
+            }
+        }
+        if let Some(share) = chosen {
+            return share;
+        }
+        let shares = self.shares();
+        let mut teams = vec![0u64; shares as usize];
+        for (i, team) in self.platform.deployment.teams.iter().enumerate() {
+            // One without limit or guarantee may be parted over all of them.
+            if team.is_bounded() || !self.platform.deployment.parts_by_job() {
+                teams[i % shares as usize] += u64::from(shares);
+            } else {
+                teams.iter_mut().for_each(|weight| *weight += 1);
+            }
+        }
+        if teams.iter().all(|n| *n == 0) {
+            teams.fill(1);
+        }
+        let mut have = vec![0u64; shares as usize];
+        let booked = self.replica.machines.values().map(|held| &held.value);
+        for record in booked.chain(taken_in.iter().map(|m| &m.record)) {
+            if let Some(sum) = have.get_mut(record.share as usize) {
+                *sum += self.types.get(&record.machine_type).map_or(1_000_000, |t| t.room.cpus);
+            }
+        }
+        (0..shares)
+            .filter(|s| teams[*s as usize] > 0)
+            .min_by_key(|s| (have[*s as usize] + cpus) / teams[*s as usize])
+            .unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/coordination/reports.rs
@@ -0,0 +1,277 @@
+//! Reports of workers: which are new, what they prove about tasks, and what is answered.
+
+use super::lives::Phase;
+use super::machines::{Failures, Fetch, Stray};
+use super::orders::ORDERS_MAX;
+use super::{Core, Effect, Unbooked, Waiter, WorkerAnswer};
+use crate::bookkeeping::schema::Seat;
+use crate::protocol::worker::{Orders, Report, TaskState, Why};
+use crate::units::{JobId, MachineId, TaskId};
+use std::collections::BTreeSet;
+
+/// Exited tasks a worker is left with before its machine gets a new term so that it may forget them.
+const EXITED_KEPT: usize = 60;
+
+impl Core {
+    pub(super) fn report(&mut self, waiter: Waiter, report: Report, relayed: bool) {
+        let answer = match self.sync.done {
+            true => self.report_answer(waiter, report, relayed),
+            false => Some(WorkerAnswer::Unavailable),
+        };
+        if let Some(answer) = answer {
+            self.out.push(Effect::AnswerWorker(waiter, answer));
+        }
+    }
+
+    fn report_answer(&mut self, waiter: Waiter, report: Report, relayed: bool) -> Option<WorkerAnswer> {
+        let id = report.machine.clone();
+        let Some(seat) = self.seat_of_machine(&id) else {
+            if self.is_leader() {
+                self.unbooked.push(Unbooked { since: self.now(), waiter, report });
+                return None;
+            }
+            return Some(match self.other_holder(Seat::Leader) {
+                Some(leader) => WorkerAnswer::Redirect(Some(leader)),
+                None => WorkerAnswer::Unavailable,
+            });
+        };
+        let Some(token) = self.token(&id) else {
+            return Some(match self.other_holder(seat) {
+                Some(owner) => WorkerAnswer::Redirect(Some(owner)),
+                None => WorkerAnswer::Unavailable,
+            });
+        };
+        if report.token > token {
+            // Somebody has a later term than we know of, or this is news from the future of
+            // another share: learn which, and draw a higher one if the machine is ours after all.
+            self.reads.wanted = true;
+            if let Some(machine) = self.machines.get_mut(&id) {
+                machine.doubt = Some(report.token);
+                machine.outranked = true;
+                machine.fenced = false;
+                machine.heard = self.clock.steady;
+            }
+            return Some(WorkerAnswer::Redirect(None));
+        }
+        let now = self.now();
+        let machine = self.machines.entry(id.clone()).or_default();
+        let (session, seq, straight) = machine.checkin;
+        if (report.session, report.seq) <= (session, seq) {
+            // A copy of a report we have seen, for which nobody waits any more. Or a worker that began
+            // anew and counts from the start: an answer would renew a lease that we then take for run
+            // out. Asked directly it can't show less than it did before, unless it has begun anew.
+            machine.ask = true;
+            return Some(WorkerAnswer::Unavailable);
+        }
+        // A worker that did not hear our last answer would have gone to another controller first.
+        if straight && !relayed && session == report.session && report.seq == seq + 1 {
+            machine.hears(machine.answered);
+        }
+        // It said something since that did not reach us: perhaps it did not hear our last answer, and it may be that
+        // nothing reaches it. What waits for its next report would never tell.
+        machine.ask |= report.session == machine.session && report.seq > machine.seq + 1;
+        machine.checkin = (report.session, report.seq, !relayed);
+        machine.reported = now;
+        self.take_report(&report, true);
+        let fenced = match self.machines.get_mut(&id) {
+            Some(machine) => {
+                machine.answered = now;
+                machine.fenced && machine.session == report.session
+            }
+            None => false,
+        };
+        // Before the worker has shown our token its report proves nothing; the answer's token
+        // makes it report again at once.
+        let orders = if fenced { self.orders_for(&id, Some(report.seq)) } else { Vec::new() };
+        if let Some(machine) = self.machines.get_mut(&id)
+            && fenced
+            && orders.len() < ORDERS_MAX
+        {
+            // All is said.
+            machine.push = false;
+        }
+        Some(WorkerAnswer::Orders(Orders { token, orders }))
+    }
+
+    /// Takes in a worker's account of itself. `checkin`: it came as a report, which the worker
+    /// sends only after it is through with the answer to the one before.
+    pub(super) fn take_report(&mut self, report: &Report, checkin: bool) {
+        let now = self.now();
+        let id = &report.machine;
+        let Some(token) = self.token(id) else { return };
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if (report.session, report.seq) <= (machine.session, machine.seq) {
+            return;
+        }
+        let fenced = report.token >= token;
+        machine.outranked = report.token > token;
+        // A report without our token may be a copy from before our time: no sign of life.
+        if fenced || !checkin {
+            machine.heard = now;
+            machine.probes_failed = 0;
+        }
+        if report.session > machine.session {
+            // A new session comes with a lease of its own.
+            machine.answered = now;
+            machine.strays.clear();
+            machine.fetches.clear();
+        }
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.token_seen = report.token;
+        machine.notice = report.notice_s.is_some();
+        if let Some(addr) = report.addr.as_ref().and_then(|a| a.parse().ok()) {
+            machine.addr = Some(addr);
+        }
+        let first = !machine.fenced;
+        machine.fenced = fenced;
+        if !machine.fenced {
+            return;
+        }
+        if machine.doubt.is_some_and(|d| report.token > d) {
+            machine.doubt = None;
+        }
+        if first {
+            // Until it showed our token a former owner may have gone on renewing its lease.
+            machine.answered = now;
+        }
+        self.pass_wanted |= first;
+        self.take_tasks(report, checkin, first);
+    }
+
+    /// `first`: this is the first message that shows the machine's present token.
+    fn take_tasks(&mut self, report: &Report, checkin: bool, first: bool) {
+        let id = &report.machine;
+        let mut strays = Vec::new();
+        let mut seen: BTreeSet<(JobId, u32)> = BTreeSet::new();
+        for reported in &report.tasks {
+            let exited = (reported.state == TaskState::Exited).then(|| reported.why.unwrap_or(Why::Unknown));
+            let known = TaskId::parse(&reported.task).filter(|t| {
+                self.jobs.get(&t.job).and_then(|j| j.live.get(t.index)).is_some_and(|l| {
+                    *l.machine() == *id && l.attempt == reported.attempt && l.phase() != Phase::Proposed
+                })
+            });
+            let Some(task) = known else {
+                let (task, attempt) = (reported.task.clone(), reported.attempt);
+                let void = first || self.machines.get(id).is_some_and(|m| m.is_void(&task, attempt));
+                strays.push(Stray { task, attempt, exited: exited.is_some(), void });
+                continue;
+            };
+            seen.insert((task.job.clone(), task.index));
+            match exited {
+                Some(why) => self.exit_seen(id, &task, why),
+                None => self.task_seen(id, &task, reported.state, report.seq),
+            }
+        }
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let kept = strays.iter().filter(|s| s.exited && !s.forgettable()).count();
+        machine.strays = strays;
+        machine.kept = kept;
+        if kept > EXITED_KEPT && machine.doubt.is_none() {
+            // A new term makes them forgettable.
+            machine.doubt = Some(report.token);
+        }
+        let quiet = !machine.direct && machine.doubt.is_none();
+        let mut starts = self.sums.starts_on(id);
+        starts.retain(|s| !seen.contains(s));
+        for (job, task) in starts {
+            let Some(live) = self.jobs.get(&job).and_then(|j| j.live.get(task)) else { continue };
+            if live.phase() == Phase::Proposed || !live.occupies() {
+                continue;
+            }
+            let earlier_session = live.session < report.session;
+            // Not there, and no command of ours is on its way that could still start it.
+            let absent = checkin && quiet && live.session == report.session && report.seq > live.seq;
+            let unwanted = live.stop.is_some() || live.phase().on_machine();
+            if earlier_session || (absent && unwanted) {
+                self.start_gone(&job, task);
+            }
+        }
+    }
+
+    fn task_seen(&mut self, id: &MachineId, task: &TaskId, state: TaskState, seq: u64) {
+        let now = self.now();
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let (image, megabytes) = (job.spec.image.clone(), job.spec.image_gb * 1000.0);
+        let Some(live) = job.live.get_mut(task.index) else { return };
+        if !live.occupies() {
+            return;
+        }
+        live.sent = true;
+        live.seq = live.seq.max(seq);
+        let phase = match state {
+            TaskState::Fetching => Phase::Fetching,
+            TaskState::Waiting => Phase::Waiting,
+            TaskState::Running => Phase::Running,
+            TaskState::Saving => Phase::Saving,
+            TaskState::Exited => return,
+        };
+        let before = live.phase();
+        if before == phase {
+            return;
+        }
+        if phase == Phase::Running {
+            live.running_since.get_or_insert(now);
+        }
+        job.live.set_phase(task.index, phase, &mut self.sums);
+        if phase == Phase::Fetching {
+            if let Some(machine) = self.machines.get_mut(id)
+                && !machine.fetches.iter().any(|f| f.image == image)
+            {
+                machine.fetches.push(Fetch { image, megabytes, since: now });
+            }
+            return;
+        }
+        if phase == Phase::Running {
+            let age_ms = self.clock.wall.since(job.accepted).millis();
+            tracing::debug!(task = %task, machine = %id, age_ms, kind = ?job.spec.kind, "runs");
+        }
+        self.image_seen(id, &image, megabytes);
+    }
+
+    /// A task that is past fetching shows that its image is there.
+    fn image_seen(&mut self, id: &MachineId, image: &str, megabytes: f64) {
+        let now = self.now();
+        let capacity_mb = self
+            .replica
+            .machines
+            .get(id)
+            .and_then(|m| self.types.get(&m.value.machine_type))
+            .map_or(f64::INFINITY, |t| t.wire.cache_gb * 1000.0);
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if let Some(at) = machine.fetches.iter().position(|f| f.image == image) {
+            let fetch = machine.fetches.remove(at);
+            let seconds = now.since(fetch.since).secs();
+            if seconds > 0.2 && fetch.megabytes > 1.0 {
+                let rate = fetch.megabytes / seconds;
+                machine.rate = Some(machine.rate.map_or(rate, |old| 0.5 * (old + rate)));
+            }
+        }
+        machine.image_used(image, megabytes, capacity_mb);
+    }
+
+    fn exit_seen(&mut self, id: &MachineId, task: &TaskId, why: Why) {
+        let now = self.now();
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        if !job.live.get(task.index).is_some_and(|l| l.occupies()) {
+            return;
+        }
+        if matches!(why, Why::Done) {
+            let (image, megabytes) = (job.spec.image.clone(), job.spec.image_gb * 1000.0);
+            self.image_seen(id, &image, megabytes);
+        }
+        if let Some(machine) = self.machines.get_mut(id) {
+            match why {
+                Why::Done => machine.failed_jobs.clear(),
+                Why::Error => {
+                    let failures =
+                        machine.failed_jobs.entry(task.job.clone()).or_insert(Failures { count: 0, last: now });
+                    failures.count += 1;
+                    failures.last = now;
+                }
+                _ => {}
+            }
+        }
+        self.start_ended(&task.job, task.index, why);
+    }
+}
--- /dev/null
+++ b/src/coordination/tidying.rs
@@ -0,0 +1,67 @@
+//! Clearing away records that nothing needs any more, a little at a time.
+
+use super::Core;
+use super::txns::{Draft, Purpose};
+use crate::bookkeeping::schema::{Key, Seat};
+use crate::units::{JobId, Micros};
+use std::collections::BTreeSet;
+
+/// A submission's lists are written down some time before the job that names them, but not so long.
+const UNNAMED_SPAN: Micros = Micros::from_millis(60_000);
+const TIDY_EVERY: Micros = Micros::from_millis(2000);
+
+impl Core {
+    /// Clears away, a little at a time, fleets and notes of machines long gone, and batches whose
+    /// jobs are over.
+    pub(super) fn tidy(&mut self) {
+        let now = self.now();
+        if self.txns.tidying() || now < self.leader.next_tidy {
+            return;
+        }
+        self.leader.next_tidy = now + TIDY_EVERY;
+        self.note_unnamed();
+        let most = self.platform.deployment.state.ops();
+        let replica = &self.replica;
+        let over = |id: &JobId| replica.ends.contains_key(id) && !replica.runs.contains_key(id);
+        let batches = replica.batches.iter().filter(|(_, b)| b.value.iter().all(over));
+        let fleets = replica.fleets.iter().filter(|(_, f)| f.value.iter().all(|m| replica.is_gone(&m.id)));
+        let unnamed = self.leader.unnamed.iter().filter(|(_, since)| now.since(**since) >= UNNAMED_SPAN);
+        let pieces = unnamed.flat_map(|(name, _)| {
+            let numbers = replica.pieces.get(name).into_iter().flat_map(|p| p.keys());
+            numbers.map(move |number| Key::Piece(name.clone(), *number))
+        });
+        // A note about a machine may go only once no fleet brings the machine back.
+        let keys: Vec<Key> = batches
+            .map(|(name, _)| Key::Batch(name.clone()))
+            .chain(fleets.map(|(name, _)| Key::Fleet(name.clone())))
+            .chain(replica.needless_notes().map(|id| Key::Machine(id.clone())))
+            .chain(pieces)
+            .take(most)
+            .collect();
+        if keys.is_empty() {
+            return;
+        }
+        let mut draft = Draft::default();
+        draft.unchanged(&self.replica, Key::Seat(Seat::Leader));
+        for key in keys {
+            draft.unchanged(&self.replica, key.clone());
+            draft.delete(key);
+        }
+        self.submit_txn(draft, Purpose::Tidy);
+    }
+
+    /// Lists whose submission came to nothing, or whose job is over and gone.
+    fn note_unnamed(&mut self) {
+        if self.replica.pieces.is_empty() {
+            return self.leader.unnamed.clear();
+        }
+        let now = self.now();
+        let jobs = self.replica.jobs.values();
+        let named: BTreeSet<&String> = jobs.filter_map(|j| j.record.pieces.as_ref().map(|(name, _)| name)).collect();
+        let unnamed: Vec<String> = self.replica.pieces.keys().filter(|n| !named.contains(n)).cloned().collect();
+        self.leader.unnamed.retain(|name, _| unnamed.contains(name));
+        for name in unnamed {
+            self.leader.unnamed.entry(name).or_insert(now);
+        }
+    }
+}
