Moves of machines are put into words when they are sent; progress waits up to 60 s

Terms come from one counter, a move waited for the change budget with the counter's old version, and a refusal counts against the limit as well.

The patience of progress is 60 s, so that most of it goes with the record of other starts of the chunk, or with the outcome.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -345,7 +345,7 @@
         self.retire_faulty(&ours);
         self.drain_retired(&ours);
         self.leave_noticed(&ours);
-        self.move_machines();
+        self.plan_moves();
     }
 
     /// Changes a machine's record under the condition that it is as we know it.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -119,6 +119,8 @@
     /// Something urgent has come since the last pass began.
     urgent_pass: bool,
     leader: leader::Leader,
+    /// By when machines of shares held here should move to others, if any are to.
+    moves_due: Option<Micros>,
     /// The oldest version of the rules for stored records among the controllers alive.
     oldest_version: Option<RecordVersion>,
     next_call: u64,
@@ -183,6 +185,7 @@
             pass_began: Micros::ZERO,
             urgent_pass: false,
             leader: leader::Leader::default(),
+            moves_due: None,
             oldest_version: None,
             next_call: 1,
             next_nonce: 1,
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -13,7 +13,7 @@
 use super::txns::{Draft, MachineChange, Purpose};
 use super::versions::{Mover, mover};
 use crate::bookkeeping::schema::{Hold, Key, MachineRecord, RecordVersion, Seat, to_value};
-use crate::units::{MachineId, Term};
+use crate::units::{MachineId, Micros, Term};
 use std::collections::BTreeMap;
 
 /// Machines that are to leave a share.
@@ -25,19 +25,31 @@
 }
 
 impl Core {
-    /// Moves the machines that are to go to other shares and have nothing on them, and keeps those that have.
-    pub(super) fn move_machines(&mut self) {
+    /// Keeps machines that were to go to other shares and have something on them, and notes by when the others should
+    /// move.
+    pub(super) fn plan_moves(&mut self) {
+        let mut wanted = false;
         for (share, machines) in self.machines_to_move() {
-            let seats = self.seats_for_moves(share);
-            if seats.is_empty() {
+            if self.seats_for_moves(share).is_empty() {
                 continue;
             }
+            wanted |= !machines.empty.is_empty();
             for id in machines.occupied {
                 self.write_machine(&id, MachineChange::Move, |record| record.hold = None);
             }
-            if self.submit_moves(&seats, machines.empty) {
-                // They draw from one counter of terms; the next share's would conflict with these.
-                return;
+        }
+        let latest = self.now() + Micros::from_millis(self.policy.machine_patience_ms);
+        self.moves_due = wanted.then(|| self.moves_due.unwrap_or(latest));
+    }
+
+    /// Moves machines, those of one share. Put into words only when it is sent: all controllers draw terms from one
+    /// counter, so what waited for the change budget would mostly be refused, and a refusal costs as much.
+    pub(super) fn send_moves(&mut self) {
+        self.moves_due = None;
+        for (share, machines) in self.machines_to_move() {
+            let seats = self.seats_for_moves(share);
+            if !seats.is_empty() && !machines.empty.is_empty() {
+                return self.send_moves_of(&seats, machines.empty);
             }
         }
     }
@@ -79,12 +91,9 @@
         leaving
     }
 
-    /// Gives machines to their new shares, as many as one transaction takes. Whether there were any.
-    fn submit_moves(&mut self, seats: &[Seat], mut moves: Vec<(MachineId, u32)>) -> bool {
+    /// Gives machines to their new shares, as many as one transaction takes.
+    fn send_moves_of(&mut self, seats: &[Seat], mut moves: Vec<(MachineId, u32)>) {
         moves.truncate(self.platform.deployment.state.ops() - 1);
-        if moves.is_empty() {
-            return false;
-        }
         let term = Term(self.replica.term_now().0 + 1);
         let mut draft = Draft::default();
         draft.unchanged(&self.replica, Key::Term);
@@ -101,7 +110,6 @@
             self.machines.entry(id.clone()).or_default().writing = true;
             ids.push(id);
         }
-        self.submit_txn(draft, Purpose::Machines(MachineChange::Move, ids));
-        true
+        self.send_txn(draft, Purpose::Machines(MachineChange::Move, ids));
     }
 }
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -112,6 +112,16 @@
     }
 }
 
+/// What the change budget can be spent on next.
+enum Next {
+    /// A transaction that waits, by its ticket.
+    Queued(u64),
+    /// Machines that go to other shares.
+    Moves,
+    /// Jobs whose records lack something.
+    Record,
+}
+
 /// A transaction being put together; conditions name the versions the replica has.
 #[derive(Default)]
 pub(super) struct Draft {
@@ -192,12 +202,15 @@
         }
         let mut due: VecDeque<_> = self.due_records().into();
         while self.budget.allows(now) {
-            let queued = self.txns.first_queued();
-            let record = due.front().map(|(latest, ..)| *latest);
-            match (queued, record) {
-                (None, None) => break,
-                (Some((latest, ticket)), record) if record.is_none_or(|r| latest <= r) => self.send_pending(ticket),
-                _ => self.record(&mut due),
+            let record = due.front().map(|(latest, ..)| (*latest, Next::Record));
+            let queued = self.txns.first_queued().map(|(latest, ticket)| (latest, Next::Queued(ticket)));
+            let moves = self.moves_due.map(|latest| (latest, Next::Moves));
+            // Of equals the first: what is queued is ready to go.
+            match [queued, moves, record].into_iter().flatten().min_by_key(|(latest, _)| *latest) {
+                Some((_, Next::Queued(ticket))) => self.send_pending(ticket),
+                Some((_, Next::Moves)) => self.send_moves(),
+                Some((_, Next::Record)) => self.record(&mut due),
+                None => break,
             }
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -342,7 +342,7 @@
     /// When changes are not plenty, starts of batch tasks wait this long for others of their job.
     batch_delay_ms: u64 = 700, 0, 60000;
     /// So long may it wait to be recorded that tasks are done while their job goes on.
-    progress_patience_ms: u64 = 20000, 0, 60000;
+    progress_patience_ms: u64 = 60000, 0, 600000;
     /// So long may it wait to clear away what nothing needs any more.
     tidy_patience_ms: u64 = 30000, 0, 600000;
     /// A submission that could not be recorded for this long is refused.
