--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -5,4 +5,4 @@
 pub mod schema;
 
 pub use replica::{Change, Replica, Versioned};
-pub use schema::{Key, MachineRecord, Outcome, RunChunk, Seat, SeatRecord, StartRecord};
+pub use schema::{Key, MachineRecord, Outcome, Role, RoleRecord, RunChunk, StartRecord};
--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -2,7 +2,7 @@
 //! commits possibly ahead of that. Per key, the higher version wins.
 
 use super::schema::{
-    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, RunChunk, Seat, SeatRecord,
+    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Role, RoleRecord, RunChunk,
     from_value,
 };
 use crate::protocol::state::Event;
@@ -19,7 +19,7 @@
 /// What a change touched; the owner of the replica looks up the rest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    Seat(Seat),
+    Role(Role),
     Node(String),
     Machines(Vec<MachineId>),
     Jobs(Vec<JobId>),
@@ -41,7 +41,7 @@
 pub struct Replica {
     pub applied: Revision,
     pub term: Option<Versioned<Term>>,
-    pub seats: BTreeMap<Seat, Versioned<SeatRecord>>,
+    pub roles: BTreeMap<Role, Versioned<RoleRecord>>,
     pub nodes: BTreeMap<String, Versioned<NodeRecord>>,
     /// Machines as they stand: by their own keys, else by their fleets, then with version 0.
     pub machines: BTreeMap<MachineId, Versioned<MachineRecord>>,
@@ -90,14 +90,14 @@
     pub fn version(&self, key: &Key) -> u64 {
         let v = match key {
             Key::Term => self.term.as_ref().map(|v| v.version),
-            Key::Seat(seat) => self.seats.get(seat).map(|v| v.version),
+            Key::Role(role) => self.roles.get(role).map(|v| v.version),
             Key::Node(label) => self.nodes.get(label).map(|v| v.version),
             Key::Fleet(name) => self.fleets.get(name).map(|v| v.version),
             Key::Machine(id) => self.own_machines.get(id).map(|v| v.version),
             Key::Batch(name) => self.batches.get(name).map(|v| v.version),
             Key::Run(id, chunk) => self.runs.get(id).and_then(|r| r.get(chunk)).map(|v| v.version),
             Key::End(id) => self.ends.get(id).map(|v| v.version),
-            Key::Piece(name, number) => self.pieces.get(name).and_then(|p| p.get(number)).map(|v| v.version),
+            Key::AwaitedPart(name, number) => self.pieces.get(name).and_then(|p| p.get(number)).map(|v| v.version),
         };
         v.unwrap_or(0)
     }
@@ -117,9 +117,9 @@
                 self.term = value.and_then(from_value).map(|value| Versioned { value, version });
                 Change::Nothing
             }
-            Key::Seat(seat) => {
-                store(&mut self.seats, seat, value.and_then(from_value), version);
-                Change::Seat(seat)
+            Key::Role(role) => {
+                store(&mut self.roles, role, value.and_then(from_value), version);
+                Change::Role(role)
             }
             Key::Node(label) => {
                 store(&mut self.nodes, label.clone(), value.and_then(from_value), version);
@@ -177,7 +177,7 @@
                 }
                 Change::Run(id, chunk)
             }
-            Key::Piece(name, number) => {
+            Key::AwaitedPart(name, number) => {
                 let pieces = self.pieces.entry(name.clone()).or_default();
                 store(pieces, number, value.and_then(from_value), version);
                 if pieces.is_empty() {
@@ -195,7 +195,7 @@
         }
     }
 
-    /// A job's record with all that it awaits. The pieces were in the books before it.
+    /// A job's record with all that it awaits. The pieces were in the stored records before it.
     fn whole(&self, record: &JobRecord) -> JobRecord {
         let mut record = record.clone();
         let pieces = record.pieces.as_ref().and_then(|(name, _)| self.pieces.get(name));
@@ -220,12 +220,12 @@
         }
     }
 
-    /// The fleet that a machine was taken into the books with.
+    /// The fleet that a machine was taken into the stored records with.
     pub fn fleet_of(&self, id: &MachineId) -> Option<&String> {
         self.fleet_of.get(id)
     }
 
-    /// Whether its deletion was confirmed, as far as the books still tell.
+    /// Whether its deletion was confirmed, as far as the stored records still tell.
     pub fn is_gone(&self, id: &MachineId) -> bool {
         self.own_machines.get(id).is_some_and(|m| m.value.hold == Some(Hold::Gone))
     }
@@ -258,7 +258,7 @@
         changes
     }
 
-    /// Whether the books name any start of a job: as long as they do, something of it may run.
+    /// Whether the stored records name any start of a job: as long as they do, something of it may run.
     pub fn has_starts(&self, id: &JobId) -> bool {
         self.runs.get(id).is_some_and(|chunks| chunks.values().any(|c| !c.value.starts.is_empty()))
     }
--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -23,7 +23,7 @@
 
 /// A right that one controller holds at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Seat {
+pub enum Role {
     Leader,
     Share(u32),
 }
@@ -31,9 +31,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Key {
     Term,
-    Seat(Seat),
+    Role(Role),
     Node(String),
-    /// Machines taken into the books together. Written once; what changes about one of them goes
+    /// Machines taken into the stored records together. Written once; what changes about one of them goes
     /// to its own key, which precedes this.
     Fleet(String),
     Machine(MachineId),
@@ -42,22 +42,22 @@
     Run(JobId, u32),
     End(JobId),
     /// Jobs that one job awaits, as far as its entry in a batch has no room for them.
-    Piece(String, u32),
+    AwaitedPart(String, u32),
 }
 
 impl fmt::Display for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Key::Term => write!(f, "{ROOT}term"),
-            Key::Seat(Seat::Leader) => write!(f, "{ROOT}leader"),
-            Key::Seat(Seat::Share(k)) => write!(f, "{ROOT}share/{k}"),
+            Key::Role(Role::Leader) => write!(f, "{ROOT}leader"),
+            Key::Role(Role::Share(k)) => write!(f, "{ROOT}share/{k}"),
             Key::Node(label) => write!(f, "{ROOT}node/{label}"),
             Key::Fleet(name) => write!(f, "{ROOT}fleet/{name}"),
             Key::Machine(id) => write!(f, "{ROOT}machine/{id}"),
             Key::Batch(name) => write!(f, "{ROOT}batch/{name}"),
             Key::Run(id, chunk) => write!(f, "{ROOT}run/{id}/{chunk}"),
             Key::End(id) => write!(f, "{ROOT}end/{id}"),
-            Key::Piece(name, number) => write!(f, "{ROOT}awaits/{name}/{number}"),
+            Key::AwaitedPart(name, number) => write!(f, "{ROOT}awaits/{name}/{number}"),
         }
     }
 }
@@ -67,8 +67,8 @@
         let rest = text.strip_prefix(ROOT)?;
         match rest.split_once('/') {
             None if rest == "term" => Some(Key::Term),
-            None if rest == "leader" => Some(Key::Seat(Seat::Leader)),
-            Some(("share", k)) => Some(Key::Seat(Seat::Share(k.parse().ok()?))),
+            None if rest == "leader" => Some(Key::Role(Role::Leader)),
+            Some(("share", k)) => Some(Key::Role(Role::Share(k.parse().ok()?))),
             Some(("node", label)) => Some(Key::Node(label.to_string())),
             Some(("fleet", name)) => Some(Key::Fleet(name.to_string())),
             Some(("machine", id)) => Some(Key::Machine(MachineId::new(id))),
@@ -76,7 +76,7 @@
             Some(("end", id)) => Some(Key::End(JobId::new(id))),
             Some(("awaits", rest)) => {
                 let (name, number) = rest.rsplit_once('/')?;
-                Some(Key::Piece(name.to_string(), number.parse().ok()?))
+                Some(Key::AwaitedPart(name.to_string(), number.parse().ok()?))
             }
             Some(("run", rest)) => {
                 let (id, chunk) = rest.rsplit_once('/')?;
@@ -102,7 +102,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SeatRecord {
+pub struct RoleRecord {
     #[serde(rename = "o")]
     pub owner: String,
     /// Distinguishes the owner's process from earlier ones under the same label.
@@ -200,9 +200,31 @@
     }
 }
 
-/// One recorded start: task, attempt, machine, session of the machine.
+/// One recorded start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StartRecord(pub u32, pub u64, pub MachineId, pub u64);
+#[serde(from = "StoredStart", into = "StoredStart")]
+pub struct StartRecord {
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: MachineId,
+    /// Of the machine, when the start was decided.
+    pub session: u64,
+}
+
+/// A start as it is stored: a list, which is short, in this order.
+type StoredStart = (u32, u64, MachineId, u64);
+
+impl From<StoredStart> for StartRecord {
+    fn from((task, attempt, machine, session): StoredStart) -> StartRecord {
+        StartRecord { task, attempt, machine, session }
+    }
+}
+
+impl From<StartRecord> for StoredStart {
+    fn from(start: StartRecord) -> StoredStart {
+        (start.task, start.attempt, start.machine, start.session)
+    }
+}
 
 /// Progress of up to [`chunk_tasks`] tasks of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -7,11 +7,11 @@
 //! needs none either and holds for a machine that hangs.
 
 use super::leader::Call;
-use super::lives::Phase;
+use super::usage::Phase;
 use super::users::BUSY;
 use super::{Core, Effect, UserAnswer, Waiter};
-use crate::bookkeeping::schema::{EndRecord, Key, Outcome, Seat, to_value};
-use crate::protocol::peer::{Cancelled, CancelledJob, Knows};
+use crate::bookkeeping::schema::{EndRecord, Key, Outcome, Role, to_value};
+use crate::protocol::peer::{CancellationAck, Cancelled, CancelledJob};
 use crate::protocol::user::valid_id;
 use crate::units::{JobId, MachineId, Micros, Term};
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,13 +23,14 @@
     /// Jobs whose share's holder said that it knows.
     confirmed: BTreeSet<JobId>,
     /// Siblings being told of jobs.
-    telling: BTreeMap<u64, Vec<JobId>>,
+    notifying: BTreeMap<u64, Vec<JobId>>,
     pub next_call: u64,
     /// By when what is left of cancelled jobs is to be deleted with its machines.
     deadlines: BTreeMap<JobId, Micros>,
     /// Machines whose deletion was asked for, and when.
     clearing: BTreeMap<MachineId, Micros>,
-    /// Machines that were so deleted and are still in the books, and when that was last sent to be written down.
+    /// Machines that were so deleted and are still in the stored records, and when that was last sent to be written
+    /// down.
     cleared: BTreeMap<MachineId, Option<Micros>>,
 }
 
@@ -40,7 +41,7 @@
 }
 
 /// Whether those who command a cancelled job's tasks know that it is cancelled.
-enum Awareness {
+enum Acknowledgement {
     Sure,
     /// The replica is older than the cancellation.
     Stale,
@@ -54,44 +55,44 @@
 const CLEAR_MOST: usize = 100;
 /// A deletion not confirmed by then is asked for again.
 const CLEAR_AGAIN: Micros = Micros::from_millis(3000);
-/// What is known of jobs is dropped once the books no longer need it; looked at so often.
+/// What is known of jobs is dropped once the stored records no longer need it; looked at so often.
 const PRUNE_AT: usize = 64;
 
 impl Core {
-    fn awareness(&self, id: &JobId) -> Awareness {
+    fn acknowledgement(&self, id: &JobId) -> Acknowledgement {
         let Some(end) = self.replica.ends.get(id) else {
             // Over because a job that it needs was cancelled: nothing of it was ever started.
-            return if self.swept.contains(id) { Awareness::Sure } else { Awareness::Stale };
+            return if self.cascaded.contains(id) { Acknowledgement::Sure } else { Acknowledgement::Stale };
         };
         if self.cancellations.confirmed.contains(id) {
-            return Awareness::Sure;
+            return Acknowledgement::Sure;
         }
         // Who holds the share is only known as of what was read. A holder from before the cancellation
-        // may have a successor by now, and a start may be in the books that is not seen here yet.
+        // may have a successor by now, and a start may be in the stored records that is not seen here yet.
         if self.replica.applied.0 < end.version {
-            return Awareness::Stale;
+            return Acknowledgement::Stale;
         }
-        // Starts are recorded under the condition that the job isn't over, and leave the books only when
+        // Starts are recorded under the condition that the job isn't over, and leave the stored records only when
         // proven gone: without any nothing runs, nor will.
         if !self.replica.has_starts(id) {
-            return Awareness::Sure;
+            return Acknowledgement::Sure;
         }
-        let Some(job) = self.jobs.get(id) else { return Awareness::Stale };
-        let seat = Seat::Share(job.share);
+        let Some(job) = self.jobs.get(id) else { return Acknowledgement::Stale };
+        let role = Role::Share(job.share);
         // Held here, and the replica shows no later holder.
-        if self.held(seat).is_some() {
-            return Awareness::Sure;
+        if self.held(role).is_some() {
+            return Acknowledgement::Sure;
         }
-        match self.replica.seats.get(&seat) {
+        match self.replica.roles.get(&role) {
             Some(held) if held.value.owner != self.label => {
-                Awareness::Ask(job.share, held.value.owner.clone(), held.value.term)
+                Acknowledgement::Ask(job.share, held.value.owner.clone(), held.value.term)
             }
-            _ => Awareness::Nobody,
+            _ => Acknowledgement::Nobody,
         }
     }
 
     /// Tells a user that a job is cancelled, as soon as that may be told.
-    pub(super) fn tell_cancelled(&mut self, waiter: Waiter, id: JobId) {
+    pub(super) fn answer_cancelled(&mut self, waiter: Waiter, id: JobId) {
         let now = self.now();
         self.cancellations.waiting.entry(id).or_default().push((now, waiter));
     }
@@ -105,17 +106,17 @@
         let patience = Micros::from_millis(self.policy.confirm_patience_ms);
         let mut ask: BTreeMap<(u32, String, Term), Vec<JobId>> = BTreeMap::new();
         for (id, waiters) in std::mem::take(&mut self.cancellations.waiting) {
-            let answer = match self.awareness(&id) {
-                Awareness::Sure => self.final_status(&id).map_or(BUSY, UserAnswer::Status),
-                Awareness::Nobody => BUSY,
-                Awareness::Stale if !self.reaches_state() => BUSY,
-                Awareness::Stale => {
+            let answer = match self.acknowledgement(&id) {
+                Acknowledgement::Sure => self.final_status(&id).map_or(BUSY, UserAnswer::Status),
+                Acknowledgement::Nobody => BUSY,
+                Acknowledgement::Stale if !self.reaches_state() => BUSY,
+                Acknowledgement::Stale => {
                     self.reads.wanted = true;
                     self.keep_waiting(id, waiters, now, patience);
                     continue;
                 }
-                Awareness::Ask(share, holder, term) => {
-                    if !self.cancellations.telling.values().flatten().any(|told| *told == id) {
+                Acknowledgement::Ask(share, holder, term) => {
+                    if !self.cancellations.notifying.values().flatten().any(|told| *told == id) {
                         ask.entry((share, holder, term)).or_default().push(id.clone());
                     }
                     self.keep_waiting(id, waiters, now, patience);
@@ -127,7 +128,7 @@
             }
         }
         for ((share, holder, term), ids) in ask {
-            self.tell_holder(share, holder, term, ids);
+            self.notify_holder(share, holder, term, ids);
         }
     }
 
@@ -142,7 +143,7 @@
         }
     }
 
-    fn tell_holder(&mut self, share: u32, holder: String, term: Term, ids: Vec<JobId>) {
+    fn notify_holder(&mut self, share: u32, holder: String, term: Term, ids: Vec<JobId>) {
         let told = |id: &JobId| {
             let end = self.replica.ends.get(id)?;
             Some(CancelledJob { id: id.to_string(), at: end.value.at.0, revision: end.version })
@@ -150,12 +151,12 @@
         let jobs: Vec<CancelledJob> = ids.iter().filter_map(told).collect();
         self.cancellations.next_call += 1;
         let call = self.cancellations.next_call;
-        self.cancellations.telling.insert(call, ids);
+        self.cancellations.notifying.insert(call, ids);
         self.out.push(Effect::Peer { call, to: holder, message: Cancelled { share, term: term.0, jobs } });
     }
 
-    pub(super) fn sibling_answered(&mut self, call: u64, answer: Option<Knows>) {
-        let Some(ids) = self.cancellations.telling.remove(&call) else { return };
+    pub(super) fn cancellation_acknowledged(&mut self, call: u64, answer: Option<CancellationAck>) {
+        let Some(ids) = self.cancellations.notifying.remove(&call) else { return };
         if answer.is_some_and(|a| a.holds) {
             self.cancellations.confirmed.extend(ids);
             if self.cancellations.confirmed.len() > PRUNE_AT {
@@ -173,9 +174,9 @@
 
     /// A sibling saw jobs cancelled and wants to know whether we see to it. What it says counts at once as
     /// if the watch had brought it, which may be cut off: stopping is always safe, and no outcome changes.
-    pub(super) fn told_by_sibling(&mut self, waiter: Waiter, message: &Cancelled) {
+    pub(super) fn cancellation_notified(&mut self, waiter: Waiter, message: &Cancelled) {
         if !self.sync.done {
-            return self.out.push(Effect::AnswerPeer(waiter, Knows { holds: false }));
+            return self.out.push(Effect::AnswerPeer(waiter, CancellationAck { holds: false }));
         }
         let mut changes = Vec::new();
         for job in message.jobs.iter().filter(|job| valid_id(&job.id)) {
@@ -186,8 +187,8 @@
             }
         }
         self.changed(changes);
-        let holds = self.held(Seat::Share(message.share)).is_some_and(|term| term.0 >= message.term);
-        self.out.push(Effect::AnswerPeer(waiter, Knows { holds }));
+        let holds = self.held(Role::Share(message.share)).is_some_and(|term| term.0 >= message.term);
+        self.out.push(Effect::AnswerPeer(waiter, CancellationAck { holds }));
     }
 
     /// So long after a cancellation its tasks' machines are deleted: late enough that a lease may have run
@@ -200,7 +201,7 @@
         part.max(lease).min(cancel - Micros::from_millis(self.policy.clear_margin_ms))
     }
 
-    /// Notes by when a cancelled job's tasks have to be proven gone. Counted from what the books say, so it
+    /// Notes by when a cancelled job's tasks have to be proven gone. Counted from what the stored records say, so it
     /// holds for a successor as well.
     pub(super) fn note_deadline(&mut self, id: &JobId) {
         let Some(end) = self.replica.ends.get(id).filter(|e| e.value.outcome == Outcome::Cancelled) else { return };
@@ -224,10 +225,10 @@
         let mut deadlines = std::mem::take(&mut self.cancellations.deadlines);
         deadlines.retain(|id, deadline| {
             let Some(job) = self.jobs.get(id).filter(|j| j.live.occupying() > 0) else { return false };
-            if *deadline > now || self.held(Seat::Share(job.share)).is_none() {
+            if *deadline > now || self.held(Role::Share(job.share)).is_none() {
                 return true;
             }
-            for live in job.live.values().filter(|l| l.occupies() && l.phase() != Phase::Proposed) {
+            for live in job.live.values().filter(|l| l.occupies() && l.phase() != Phase::Decided) {
                 let first = due.entry(live.machine().clone()).or_insert(*deadline);
                 *first = (*first).min(*deadline);
             }
@@ -250,7 +251,7 @@
         }
     }
 
-    /// Whether it was deleted here, though the books don't say so yet.
+    /// Whether it was deleted here, though the stored records don't say so yet.
     pub(super) fn is_cleared(&self, id: &MachineId) -> bool {
         self.cancellations.cleared.contains_key(id)
     }
@@ -259,7 +260,7 @@
     pub(super) fn machines_cleared(&mut self, ids: Vec<MachineId>) {
         let now = self.now();
         for id in ids {
-            for (job, task) in self.sums.starts_on(&id) {
+            for (job, task) in self.usage.starts_on(&id) {
                 self.start_gone(&job, task);
             }
             self.leader.deleted.insert(id.clone(), now);
@@ -267,11 +268,11 @@
         }
     }
 
-    /// Takes machines deleted here out of the books, again if a change of their records came between.
+    /// Takes machines deleted here out of the stored records, again if a change of their records came between.
     fn strike_out_cleared(&mut self) {
         let now = self.now();
-        let booked = &self.replica.machines;
-        self.cancellations.cleared.retain(|id, _| booked.contains_key(id));
+        let recorded = &self.replica.machines;
+        self.cancellations.cleared.retain(|id, _| recorded.contains_key(id));
         let mut ids = Vec::new();
         for (id, sent) in &mut self.cancellations.cleared {
             let due = sent.is_none_or(|at| now.since(at) >= CLEAR_AGAIN);
--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -4,7 +4,7 @@
 use super::Core;
 use super::jobs::Job;
 use super::leader::{Call, Offer};
-use crate::bookkeeping::schema::{Hold, Seat};
+use crate::bookkeeping::schema::{Hold, Role};
 use crate::protocol::cloud::Rental;
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::units::{MachineId, Micros, Room};
@@ -100,7 +100,7 @@
         let mut used: HashMap<&str, Room> = HashMap::new();
         for job in &jobs {
             if let Some(team) = &job.spec.team {
-                used.entry(team).or_insert_with(|| self.sums.used_by(team));
+                used.entry(team).or_insert_with(|| self.usage.used_by(team));
             }
         }
         for job in &jobs {
@@ -271,7 +271,7 @@
                 room_left -= 1;
             }
         }
-        let term = self.held(Seat::Leader).unwrap_or_default();
+        let term = self.held(Role::Leader).unwrap_or_default();
         for (offer, count) in orders {
             self.leader.charters += 1;
             // The term is this process's alone, so the name never comes again.
--- a/src/coordination/draining.rs
+++ b/src/coordination/draining.rs
@@ -1,8 +1,8 @@
 //! Machines that tasks have to leave: faulty ones, those to be returned, and those about to be taken.
 
 use super::Core;
-use super::lives::Phase;
 use super::machines::Failures;
+use super::usage::Phase;
 use crate::bookkeeping::schema::Hold;
 use crate::protocol::user::Kind;
 use crate::units::{JobId, MachineId};
@@ -58,14 +58,14 @@
     fn stop_where(&mut self, id: &MachineId, wanted: impl Fn(Kind) -> bool) {
         let grace = self.policy.stop_grace_s;
         let mut push = false;
-        for (job, task) in self.sums.starts_on(id) {
+        for (job, task) in self.usage.starts_on(id) {
             let Some(job) = self.jobs.get_mut(&job) else { continue };
             if !wanted(job.spec.kind) {
                 continue;
             }
             if let Some(live) = job.live.get_mut(task)
                 && live.occupies()
-                && live.phase() != Phase::Proposed
+                && live.phase() != Phase::Decided
                 && live.stop.is_none()
             {
                 live.stop = Some(if job.spec.checkpoint_s > 0.0 { grace } else { 0.0 });
--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -1,8 +1,8 @@
 //! Which machines have failed: leases that have run out, probes, and the decision to replace a machine.
 
 use super::Core;
-use super::lives::Phase;
 use super::machines::Machine;
+use super::usage::Phase;
 use crate::bookkeeping::schema::Hold;
 use crate::protocol::worker::DirectOrders;
 use crate::units::{MachineId, Micros, Term};
@@ -27,7 +27,7 @@
         let (mut failing, mut all) = (Vec::new(), Vec::new());
         for machine in machines {
             // Those of a share just taken were not heard yet, though their silence counts from then.
-            let heard = if machine.fenced { machine.heard } else { Micros::ZERO };
+            let heard = if machine.term_confirmed { machine.heard } else { Micros::ZERO };
             all.push(heard);
             if machine.probes_failed > 0 {
                 failing.push(heard);
@@ -54,16 +54,16 @@
         let lease = Micros::from_secs_f64(lease_s * 1.002 + 1.0);
         for id in ours {
             let Some(machine) = self.machines.get(id) else { continue };
-            if !machine.fenced || now.since(machine.answered) <= lease {
+            if !machine.term_confirmed || now.since(machine.answered) <= lease {
                 continue;
             }
             let session = machine.session;
-            for (job, task) in self.sums.starts_on(id) {
+            for (job, task) in self.usage.starts_on(id) {
                 let expired = self
                     .jobs
                     .get(&job)
                     .and_then(|j| j.live.get(task))
-                    .is_some_and(|l| l.session <= session && l.phase() != Phase::Proposed);
+                    .is_some_and(|l| l.session <= session && l.phase() != Phase::Decided);
                 if expired {
                     self.start_gone(&job, task);
                 }
@@ -81,14 +81,14 @@
         let late = Micros::from_secs_f64(self.platform.deployment.workers.report_s * self.policy.report_late_part);
         let mut due: Vec<(bool, Micros, &MachineId)> = Vec::new();
         let mut quiet: BTreeMap<&str, Vec<(Micros, &MachineId)>> = BTreeMap::new();
-        let mut doubted: BTreeSet<&str> = BTreeSet::new();
+        let mut suspected: BTreeSet<&str> = BTreeSet::new();
         for id in ours {
             let (Some(machine), Some(record)) = (self.machines.get(id), self.replica.machines.get(id)) else {
                 continue;
             };
             let zone = record.value.zone.as_str();
             if machine.unanswered > 0 {
-                doubted.insert(zone);
+                suspected.insert(zone);
             }
             let silence = now.since(machine.heard);
             // Also one that reports but did not answer the last message.
@@ -96,7 +96,7 @@
             if machine.direct || now < machine.next_probe || !(suspect || silence >= early) {
                 continue;
             }
-            if suspect || self.sums.serves(id) {
+            if suspect || self.usage.serves(id) {
                 due.push((!suspect, machine.heard, id));
             } else {
                 quiet.entry(zone).or_default().push((machine.heard, id));
@@ -104,7 +104,7 @@
         }
         // Where one fails to answer, a few others of its zone are asked at once, whatever they run: whether
         // one machine is lost or all are cut off must show before anything is decided.
-        for zone in doubted {
+        for zone in suspected {
             let mut others = quiet.remove(zone).unwrap_or_default();
             others.sort_unstable();
             due.extend(others.into_iter().take(WIDENED).map(|(heard, id)| (false, heard, id)));
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Asks a machine that is not in the books for a sign of life. The token 0 moves nobody to
+    /// Asks a machine that is not in the stored records for a sign of life. The token 0 moves nobody to
     /// anything.
     pub(super) fn ask_for_life(&mut self, id: &MachineId, addr: Option<&str>) {
         let Some(addr) = addr.and_then(|a| a.parse().ok()) else { return };
@@ -178,7 +178,7 @@
         let lease = Micros::from_secs_f64(self.platform.deployment.workers.lease_s * 1.002 + 2.0);
         let lost: Vec<MachineId> = silent
             .iter()
-            .filter(|id| self.machines.get(*id).is_some_and(|m| !m.fenced && now.since(m.heard) >= lease))
+            .filter(|id| self.machines.get(*id).is_some_and(|m| !m.term_confirmed && now.since(m.heard) >= lease))
             .cloned()
             .collect();
         for id in &lost {
@@ -187,7 +187,7 @@
         // Machines go silent one by one even if all are cut off at once, as each was last heard at
         // a moment of its own. So the others must have been heard well after this one fell silent.
         let gap = Micros::from_millis(self.policy.probe_after_ms + self.policy.probe_ms);
-        if self.many_deaf.is_some_and(|at| now.since(at) < after) {
+        if self.many_unreachable.is_some_and(|at| now.since(at) < after) {
             return;
         }
         if silent.is_empty() {
@@ -228,7 +228,7 @@
         }
         self.zones_cut.extend(cut.into_iter().map(|zone| (zone, now)));
         if many_silent {
-            self.many_deaf = Some(now);
+            self.many_unreachable = Some(now);
             return;
         }
         for id in lost_for_good {
@@ -238,44 +238,46 @@
 
     /// How many machines fail to answer, and of how many that can be said: of those that heard something
     /// since the first of them fell silent, too. The rest were sent nothing.
-    fn deaf_of(&self, ours: &[MachineId]) -> (usize, usize) {
+    fn unreachable_of(&self, ours: &[MachineId]) -> (usize, usize) {
         let machines = || ours.iter().filter_map(|id| self.machines.get(id));
-        let deaf = || machines().filter(|m| m.unanswered >= 2);
-        let Some(since) = deaf().map(|m| m.unanswered_since).min() else { return (0, ours.len()) };
-        let count = deaf().count();
-        (count, count + machines().filter(|m| m.unanswered < 2 && m.heard_us > since).count())
+        let unreachable = || machines().filter(|m| m.unanswered >= 2);
+        let Some(since) = unreachable().map(|m| m.unanswered_since).min() else { return (0, ours.len()) };
+        let count = unreachable().count();
+        (count, count + machines().filter(|m| m.unanswered < 2 && m.last_delivered > since).count())
     }
 
     /// Machines that can send but not hear look alive in turns, and when such a time ends they are heard
     /// again one by one. While many fail to answer, and a while after, none is judged by that.
-    pub(super) fn judge_deaf(&mut self, ours: &[MachineId]) {
-        let (deaf, known) = self.deaf_of(ours);
-        if deaf as f64 > (known as f64 * self.policy.replace_max_part).max(2.0) {
-            self.many_deaf = Some(self.now());
+    pub(super) fn judge_unreachable(&mut self, ours: &[MachineId]) {
+        let (unreachable, known) = self.unreachable_of(ours);
+        if unreachable as f64 > (known as f64 * self.policy.replace_max_part).max(2.0) {
+            self.many_unreachable = Some(self.now());
         }
     }
 
     /// A machine whose reports arrive though nothing reaches it: its lease runs out again and again,
     /// and whatever it is given is lost. Replaced like a silent one, unless many are so at once:
     /// then the fault is our own network.
-    pub(super) fn replace_deaf(&mut self, ours: &[MachineId]) {
+    pub(super) fn replace_unreachable(&mut self, ours: &[MachineId]) {
         let now = self.now();
-        let span = Micros::from_millis(self.policy.mute_after_ms);
-        let deaf_long: Vec<MachineId> = ours
+        let span = Micros::from_millis(self.policy.unreachable_after_ms);
+        let unreachable_long: Vec<MachineId> = ours
             .iter()
-            .filter(|id| self.machines.get(*id).is_some_and(|m| m.is_deaf(now, self.policy.mute_probes, span)))
+            .filter(|id| {
+                self.machines.get(*id).is_some_and(|m| m.is_unreachable(now, self.policy.unreachable_probes, span))
+            })
             .cloned()
             .collect();
-        if deaf_long.is_empty() {
+        if unreachable_long.is_empty() {
             return;
         }
         // Some fall silent a little later than others: those on their way there count as well, and at
         // least one other must have heard something.
-        let (deaf, known) = self.deaf_of(ours);
+        let (unreachable, known) = self.unreachable_of(ours);
         let most = (known as f64 * self.policy.replace_max_part).max(1.0);
-        let many = self.many_deaf.is_some_and(|at| now.since(at) < span);
-        if !many && deaf as f64 <= most && known > deaf {
-            for id in &deaf_long {
+        let many = self.many_unreachable.is_some_and(|at| now.since(at) < span);
+        if !many && unreachable as f64 <= most && known > unreachable {
+            for id in &unreachable_long {
                 self.set_hold(id, Hold::Doomed);
             }
         }
@@ -290,22 +292,25 @@
 
     /// A machine whose reports reach no controller is replaced while its lease lasts, unless many are so: then
     /// the fault is elsewhere.
-    pub(super) fn replace_mute(&mut self, ours: &[MachineId]) {
+    pub(super) fn replace_unreported(&mut self, ours: &[MachineId]) {
         let now = self.now();
         let span = self.unreported_span();
-        let mute: Vec<MachineId> =
-            ours.iter().filter(|id| self.machines.get(*id).is_some_and(|m| m.is_mute(now, span))).cloned().collect();
+        let unreported: Vec<MachineId> = ours
+            .iter()
+            .filter(|id| self.machines.get(*id).is_some_and(|m| m.is_unreported(now, span)))
+            .cloned()
+            .collect();
         // Their last reports came at different moments: those on their way there count as well.
         let half = span - Micros(Micros::from_millis(self.policy.unreported_ms).0 / 2);
-        let late = ours.iter().filter(|id| self.machines.get(*id).is_some_and(|m| m.is_mute(now, half))).count();
+        let late = ours.iter().filter(|id| self.machines.get(*id).is_some_and(|m| m.is_unreported(now, half))).count();
         if late as f64 > (ours.len() as f64 * self.policy.replace_max_part).max(1.0) {
-            self.many_mute = Some(now);
+            self.many_unreported = Some(now);
         }
         // When such a time ends they are heard again one by one.
-        if mute.is_empty() || self.many_mute.is_some_and(|at| now.since(at) < span) {
+        if unreported.is_empty() || self.many_unreported.is_some_and(|at| now.since(at) < span) {
             return;
         }
-        for id in &mute {
+        for id in &unreported {
             self.set_hold(id, Hold::Doomed);
         }
     }
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -1,11 +1,11 @@
 //! Jobs and their starts, kept in line with the replica and with what machines report.
 
 use super::Core;
-use super::lives::{Live, Lives, Phase};
 use super::pipelines::Urgency;
+use super::usage::{JobStarts, Phase, Start};
 use crate::bookkeeping::schema::{JobRecord, Outcome, RunChunk, StartRecord};
 use crate::protocol::user::{JobSpec, Kind, Priority};
-use crate::protocol::worker::Why;
+use crate::protocol::worker::ExitCause;
 use crate::units::{JobId, MachineId, Micros, Room};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -15,8 +15,8 @@
     pub accepted: Micros,
     pub room: Room,
     pub share: u32,
-    pub live: Lives,
-    /// Seen done, not yet in the books.
+    pub live: JobStarts,
+    /// Seen done, not yet in the stored records.
     pub done_unrecorded: BTreeSet<u32>,
     pub done: u32,
     /// Tasks from here on were never started.
@@ -27,9 +27,9 @@
     pub failures: u32,
     /// A transaction on it is on its way.
     pub locked: bool,
-    /// Since when something waits to be taken out of the books.
+    /// Since when something waits to be taken out of the stored records.
     pub dirty_since: Option<Micros>,
-    /// Since when the books lack that tasks are done.
+    /// Since when the stored records lack that tasks are done.
     pub progress_since: Option<Micros>,
     pub over: Option<Outcome>,
     pub recorded: bool,
@@ -40,7 +40,7 @@
     pub ready: Micros,
     /// Its own, or that of jobs which need it.
     pub urgency: Urgency,
-    /// Its books are larger than may be written; looked at again then.
+    /// Its records are larger than may be written; looked at again then.
     pub too_large_until: Micros,
 }
 
@@ -51,7 +51,7 @@
             accepted: record.accepted,
             room: record.spec.room(),
             share,
-            live: Lives::new(id.clone(), &record.spec),
+            live: JobStarts::new(id.clone(), &record.spec),
             done_unrecorded: BTreeSet::new(),
             done: 0,
             fresh_from: 0,
@@ -73,7 +73,7 @@
 
     /// Tasks done and running, for display.
     pub fn counts(&self) -> (u32, u32) {
-        (self.done, self.live.occupying() - self.live.proposed())
+        (self.done, self.live.occupying() - self.live.decided())
     }
 
     pub fn waiting(&self) -> u32 {
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Next task that may start now. `room` says whether a chunk of the books can name one more start.
+    /// Next task that may start now. `room` says whether a chunk of the stored records can name one more start.
     pub fn next_task(&self, now: Micros, chunk_tasks: u32, room: impl Fn(u32) -> bool) -> Option<u32> {
         if self.held {
             return None;
@@ -168,7 +168,7 @@
         self.forget_if_over(id);
     }
 
-    /// One chunk of a job's books has changed.
+    /// One chunk of a job's records has changed.
     pub(super) fn run_changed(&mut self, id: &JobId, chunk: u32) {
         if self.job_known(id) {
             self.sync_chunk(id, chunk);
@@ -198,7 +198,7 @@
         job.recorded = recorded;
         if job.over.is_none() && over.is_some() {
             job.over = over;
-            self.sums.touched.insert(id.clone());
+            self.usage.touched.insert(id.clone());
             // Nothing that was only decided may start any more; what may run has to stop.
             let mut machines = Vec::new();
             for live in job.live.values_mut() {
@@ -216,17 +216,17 @@
     }
 
     fn forget_if_over(&mut self, id: &JobId) {
-        let booked = self.replica.runs.contains_key(id);
+        let recorded = self.replica.runs.contains_key(id);
         // One that is over because another was cancelled is known by its entry here until that is written down.
         let ended = self.replica.ends.contains_key(id);
-        let done_with = |job: &Job| (ended && job.over.is_some() || !job.recorded) && !booked;
+        let done_with = |job: &Job| (ended && job.over.is_some() || !job.recorded) && !recorded;
         if self.jobs.get(id).is_some_and(|job| done_with(job) && job.live.is_empty() && !job.locked) {
             self.jobs.remove(id);
-            self.sums.touched.remove(id);
+            self.usage.touched.remove(id);
         }
     }
 
-    /// Starts in the books but not known here appear, those taken out vanish.
+    /// Starts in the stored records but not known here appear, those taken out vanish.
     fn sync_chunk(&mut self, id: &JobId, number: u32) {
         let now = self.now();
         let size = self.chunk_tasks;
@@ -235,7 +235,7 @@
         let chunks = self.replica.runs.get(id).unwrap_or(&empty);
         let none = RunChunk::default();
         let chunk = chunks.get(&number).map_or(&none, |c| &c.value);
-        let recorded: BTreeMap<u32, &StartRecord> = chunk.starts.iter().map(|s| (s.0, s)).collect();
+        let recorded: BTreeMap<u32, &StartRecord> = chunk.starts.iter().map(|s| (s.task, s)).collect();
         let mut highest = job.fresh_from;
         if let Some((last, _)) = recorded.last_key_value() {
             highest = highest.max(last + 1);
@@ -244,24 +244,24 @@
             highest = highest.max(last.1 + 1);
         }
         job.done = chunks.values().map(|c| c.value.done_count()).sum();
-        let in_books = |t: u32| {
-            chunks.get(&(t / size)).is_some_and(|c| c.value.is_done(t) || c.value.starts.iter().any(|s| s.0 == t))
+        let in_records = |t: u32| {
+            chunks.get(&(t / size)).is_some_and(|c| c.value.is_done(t) || c.value.starts.iter().any(|s| s.task == t))
         };
         let own = number * size..(number + 1).saturating_mul(size);
         let mut touched: Vec<MachineId> = Vec::new();
-        // Gone from the books, or never got there.
+        // Gone from the stored records, or never got there.
         let locked = job.locked;
         let vanished: Vec<u32> = job
             .live
             .range(own.clone())
             .filter(|(t, l)| match recorded.get(t) {
-                Some(s) => s.1 != l.attempt || s.2 != *l.machine(),
-                None => !(locked && l.phase() == Phase::Proposed),
+                Some(s) => s.attempt != l.attempt || s.machine != *l.machine(),
+                None => !(locked && l.phase() == Phase::Decided),
             })
             .map(|(t, _)| t)
             .collect();
         for task in vanished {
-            if let Some(live) = job.live.remove(task, &mut self.sums) {
+            if let Some(live) = job.live.remove(task, &mut self.usage) {
                 touched.push(live.machine().clone());
             }
             if !recorded.contains_key(&task) && !chunk.is_done(task) && !job.done_unrecorded.contains(&task) {
@@ -270,7 +270,7 @@
         }
         job.done_unrecorded.retain(|t| !own.contains(t) || !chunk.is_done(*t));
         for task in job.fresh_from..highest {
-            if !in_books(task) {
+            if !in_records(task) {
                 job.redo.insert(task);
             }
         }
@@ -278,18 +278,18 @@
         job.redo.retain(|t| !own.contains(t) || !(recorded.contains_key(t) || chunk.is_done(*t)));
         for (task, start) in &recorded {
             match job.live.get(*task).map(|l| (l.phase(), l.machine().clone())) {
-                Some((Phase::Proposed, machine)) => {
-                    job.live.set_phase(*task, Phase::Recorded, &mut self.sums);
+                Some((Phase::Decided, machine)) => {
+                    job.live.set_phase(*task, Phase::Recorded, &mut self.usage);
                     touched.push(machine);
                 }
                 Some(_) => {}
                 None => {
-                    let mut live = Live::new(start.1, start.2.clone(), start.3, Phase::Recorded);
+                    let mut live = Start::new(start.attempt, start.machine.clone(), start.session, Phase::Recorded);
                     live.stop = job.over.map(|_| 0.0);
                     // Whoever recorded it may have sent the command.
                     live.sent = true;
-                    job.live.insert(*task, live, &mut self.sums);
-                    touched.push(start.2.clone());
+                    job.live.insert(*task, live, &mut self.usage);
+                    touched.push(start.machine.clone());
                 }
             }
         }
@@ -301,7 +301,7 @@
             .map(|(t, _)| t)
             .collect();
         for task in lost {
-            job.live.set_phase(task, Phase::Gone, &mut self.sums);
+            job.live.set_phase(task, Phase::Gone, &mut self.usage);
             job.dirty(now);
         }
         let patient = job.over.is_none() && job.spec.kind == Kind::Array && !job.is_urgent();
@@ -316,7 +316,7 @@
     }
 
     /// A start was seen to have ended.
-    pub(super) fn start_ended(&mut self, id: &JobId, task: u32, why: Why) {
+    pub(super) fn start_ended(&mut self, id: &JobId, task: u32, why: ExitCause) {
         let now = self.now();
         let retry_max = Micros::from_millis(self.policy.retry_max_ms);
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -325,29 +325,29 @@
             return;
         }
         let machine = live.machine().clone();
-        if why != Why::Done {
+        if why != ExitCause::Done {
             tracing::debug!(job = %id, task, %machine, phase = ?live.phase(), ?why, "ended early");
         }
-        job.live.set_phase(task, Phase::Ended(why), &mut self.sums);
+        job.live.set_phase(task, Phase::Ended(why), &mut self.usage);
         let pause = match why {
-            Why::Done => {
+            ExitCause::Done => {
                 job.done_unrecorded.insert(task);
                 job.progress_since.get_or_insert(now);
                 job.failures = 0;
                 None
             }
-            Why::Error => {
+            ExitCause::Error => {
                 job.failures += 1;
                 Some(Micros::from_millis(500 << job.failures.min(8)).min(retry_max))
             }
-            Why::NoRoom | Why::Busy | Why::Unknown => Some(Micros::from_millis(500)),
-            Why::Stopped | Why::Peers | Why::Alone => None,
+            ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown => Some(Micros::from_millis(500)),
+            ExitCause::Stopped | ExitCause::Peers | ExitCause::Alone => None,
         };
         if let Some(pause) = pause {
             job.not_before.insert(task, now + pause);
         }
         job.dirty(now);
-        if job.spec.kind == Kind::Gang && why != Why::Done {
+        if job.spec.kind == Kind::Gang && why != ExitCause::Done {
             // The attempt is lost; the next begins when all of it has gone.
             for live in job.live.values_mut().filter(|l| l.occupies()) {
                 live.stop.get_or_insert(0.0);
@@ -362,12 +362,12 @@
         let now = self.now();
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(live) = job.live.get(task) else { return };
-        if !live.occupies() || live.phase() == Phase::Proposed {
+        if !live.occupies() || live.phase() == Phase::Decided {
             return;
         }
         let machine = live.machine().clone();
         tracing::debug!(job = %id, task, %machine, phase = ?live.phase(), seq = live.seq, "proven gone");
-        job.live.set_phase(task, Phase::Gone, &mut self.sums);
+        job.live.set_phase(task, Phase::Gone, &mut self.usage);
         job.dirty(now);
         self.machine_freed(&machine);
         self.pass_wanted = true;
@@ -378,7 +378,7 @@
             job.locked = false;
         }
         self.job_changed(id);
-        // What a refused transaction was to take out of the books still has to go.
+        // What a refused transaction was to take out of the stored records still has to go.
         let now = self.now();
         if let Some(job) = self.jobs.get_mut(id)
             && job.live.settled() > 0
@@ -394,10 +394,10 @@
             job.not_before.clear();
             job.dirty_since = None;
             let over = job.over;
-            let booked: Vec<u32> =
-                job.live.iter().filter(|(_, l)| l.phase() != Phase::Proposed).map(|(task, _)| task).collect();
-            for task in booked {
-                job.live.set_phase(task, Phase::Recorded, &mut self.sums);
+            let recorded: Vec<u32> =
+                job.live.iter().filter(|(_, l)| l.phase() != Phase::Decided).map(|(task, _)| task).collect();
+            for task in recorded {
+                job.live.set_phase(task, Phase::Recorded, &mut self.usage);
                 if let Some(live) = job.live.get_mut(task) {
                     (live.sent, live.seq) = (true, 0);
                     live.stop = over.map(|_| 0.0);
@@ -405,7 +405,7 @@
             }
         }
         let ids: Vec<JobId> = self.jobs.iter().filter(|(_, j)| j.share == share).map(|(id, _)| id.clone()).collect();
-        self.sums.touched.extend(ids.iter().cloned());
+        self.usage.touched.extend(ids.iter().cloned());
         for id in ids {
             self.job_changed(&id);
             self.note_deadline(&id);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,4 +1,4 @@
-//! The leader's work: takes machines into the books, plans which share gets which, rents and returns.
+//! The leader's work: takes machines into the stored records, plans which share gets which, rents and returns.
 
 use super::capacity::Unmet;
 use super::txns::{Draft, MachineChange, Purpose};
@@ -47,7 +47,7 @@
     pub deleted: BTreeMap<MachineId, Micros>,
     pub next_plan: Micros,
     pub next_tidy: Micros,
-    /// Machines not in the books that answered when they were asked.
+    /// Machines not in the stored records that answered when they were asked.
     pub alive: BTreeMap<MachineId, Micros>,
     /// What the shares lacked in the last plan, most urgent first.
     pub need: Vec<Unmet>,
@@ -157,18 +157,18 @@
                 }
             }
             (Call::Delete(ids), CloudOutcome::Deleted) => {
-                let mut booked = Vec::new();
+                let mut recorded = Vec::new();
                 for id in ids {
                     tracing::info!(machine = %id, "machine deleted");
                     self.leader.boots.remove(&id);
                     self.leader.deleted.insert(id.clone(), now);
                     if self.replica.machines.contains_key(&id) {
-                        booked.push(id);
+                        recorded.push(id);
                     } else {
                         self.leader.deleting.remove(&id);
                     }
                 }
-                self.strike_out(booked);
+                self.strike_out(recorded);
             }
             (Call::Clear(ids), CloudOutcome::Deleted) => self.machines_cleared(ids),
             // Asked for again as long as it is due.
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Takes deleted machines out of the books, which proves to their shares that nothing is left
+    /// Takes deleted machines out of the stored records, which proves to their shares that nothing is left
     /// on them.
     pub(super) fn strike_out(&mut self, ids: Vec<MachineId>) {
         let returned =
@@ -277,7 +277,7 @@
             self.cloud(Call::List);
         }
         self.leader.deleted.retain(|_, at| now.since(*at) < Micros::from_millis(600_000));
-        self.adopt();
+        self.register_machines();
         self.delete_held();
         self.give_up_boots();
         self.tidy();
@@ -296,7 +296,7 @@
             }
             // The hold is seen by whoever records starts. One that crosses with it is lost with the machine, and
             // starts again elsewhere.
-            let empty = self.replica.applied.0 >= held.version && self.sums.is_empty(id);
+            let empty = self.replica.applied.0 >= held.version && self.usage.is_empty(id);
             match held.value.hold {
                 Some(Hold::Doomed) => ids.push(id.clone()),
                 Some(Hold::Retire) if empty => ids.push(id.clone()),
@@ -311,13 +311,13 @@
         let lag = Micros::from_secs_f64(self.platform.deployment.cloud.list_lag_s * 2.0 + 5.0);
         let patience = self.policy.boot_patience;
         let mut late = Vec::new();
-        let (types, booked) = (&self.types, &self.replica.machines);
+        let (types, recorded) = (&self.types, &self.replica.machines);
         self.leader.boots.retain(|id, boot| {
             let usual = types.get(&boot.machine_type).map_or(60.0, |t| t.wire.boot_s);
             if now.since(boot.since) > Micros::from_secs_f64(usual * patience) {
                 late.push(id.clone());
             }
-            !booked.contains_key(id) && now.since(boot.last_listed) < lag
+            !recorded.contains_key(id) && now.since(boot.last_listed) < lag
         });
         for id in &late {
             tracing::info!(machine = %id, "did not come up, given up");
--- a/src/coordination/machine_terms.rs
+++ b/src/coordination/machine_terms.rs
@@ -2,51 +2,51 @@
 
 use super::Core;
 use super::txns::{Draft, MachineChange, Purpose};
-use crate::bookkeeping::schema::{Key, Seat, to_value};
+use crate::bookkeeping::schema::{Key, Role, to_value};
 use crate::units::{MachineId, Micros, Term};
 use rand::Rng;
 use std::collections::BTreeMap;
 
 /// Machines in doubt that get a term each; more of one share get a common one.
-const FENCE_EACH: usize = 3;
+const OWN_TERMS_MOST: usize = 3;
 /// Usual pause between new terms for machines in doubt.
-const FENCE_EVERY: Micros = Micros::from_millis(1000);
+const RENEW_EVERY: Micros = Micros::from_millis(1000);
 
 impl Core {
     /// Machines with a direct command in doubt get a new term once they are heard again: a report
     /// that carries it proves the command void. For a few each gets one of its own; many in one
     /// share get the share's, which costs two changes however many they are.
-    pub(super) fn fence_doubtful(&mut self, ours: &[MachineId]) {
+    pub(super) fn renew_terms(&mut self, ours: &[MachineId]) {
         let now = self.now();
-        if now < self.next_fence {
+        if now < self.next_renewal {
             return;
         }
         let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 2.0);
-        let mut doubtful: BTreeMap<u32, Vec<MachineId>> = BTreeMap::new();
+        let mut unacknowledged: BTreeMap<u32, Vec<MachineId>> = BTreeMap::new();
         for id in ours {
             let token = self.token(id).unwrap_or_default();
             let Some(machine) = self.machines.get(id) else { continue };
             let Some(share) = machine.share else { continue };
-            let in_doubt = machine.doubt.is_some_and(|d| d >= token);
+            let in_doubt = machine.unacknowledged.is_some_and(|d| d >= token);
             if in_doubt && !machine.writing && !machine.direct && now.since(machine.heard) < recent {
-                doubtful.entry(share).or_default().push(id.clone());
+                unacknowledged.entry(share).or_default().push(id.clone());
             }
         }
-        let Some((share, ids)) = doubtful.into_iter().max_by_key(|(_, ids)| ids.len()) else {
+        let Some((share, ids)) = unacknowledged.into_iter().max_by_key(|(_, ids)| ids.len()) else {
             return self.clear_exited(ours);
         };
         // All controllers draw from one counter: at random times they rarely meet.
-        let pause = self.rng.random_range(FENCE_EVERY.0 / 2..FENCE_EVERY.0 * 3 / 2);
-        self.next_fence = now + Micros(pause);
-        let worst = ids.iter().filter_map(|id| self.machines.get(id)?.doubt).max().unwrap_or_default();
+        let pause = self.rng.random_range(RENEW_EVERY.0 / 2..RENEW_EVERY.0 * 3 / 2);
+        self.next_renewal = now + Micros(pause);
+        let worst = ids.iter().filter_map(|id| self.machines.get(id)?.unacknowledged).max().unwrap_or_default();
         let term = Term(self.replica.term_now().0.max(worst.0) + 1);
-        if ids.len() > FENCE_EACH {
+        if ids.len() > OWN_TERMS_MOST {
             self.renew_share(share, term);
             return;
         }
         let mut draft = Draft::default();
         draft.unchanged(&self.replica, Key::Term);
-        draft.unchanged(&self.replica, Key::Seat(Seat::Share(share)));
+        draft.unchanged(&self.replica, Key::Role(Role::Share(share)));
         draft.put(Key::Term, to_value(&term));
         for id in &ids {
             let Some(held) = self.replica.machines.get(id) else { continue };
@@ -67,20 +67,20 @@
         let mut kept: BTreeMap<u32, (usize, usize)> = BTreeMap::new();
         for machine in ours.iter().filter_map(|id| self.machines.get(id)) {
             if let Some(share) = machine.share {
-                let sums = kept.entry(share).or_default();
-                *sums = (sums.0 + machine.kept, sums.1 + 1);
+                let usage = kept.entry(share).or_default();
+                *usage = (usage.0 + machine.kept, usage.1 + 1);
             }
         }
         let mean = |(exited, machines): (usize, usize)| exited as f64 / machines.max(1) as f64;
         let worst = kept.into_iter().max_by(|a, b| mean(a.1).total_cmp(&mean(b.1)));
-        if let Some((share, sums)) = worst.filter(|(_, sums)| mean(*sums) > self.policy.exited_mean) {
+        if let Some((share, usage)) = worst.filter(|(_, usage)| mean(*usage) > self.policy.exited_mean) {
             tracing::debug!(
                 share,
-                exited = sums.0,
-                machines = sums.1,
+                exited = usage.0,
+                machines = usage.1,
                 "a new term, so that exited tasks are forgotten"
             );
-            self.next_fence = self.now() + Micros::from_millis(self.policy.exited_every_ms);
+            self.next_renewal = self.now() + Micros::from_millis(self.policy.exited_every_ms);
             self.renew_share(share, Term(self.replica.term_now().0 + 1));
         }
     }
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -2,7 +2,7 @@
 
 use super::txns::{Draft, MachineChange, Purpose};
 use super::{Core, Effect, WorkerAnswer};
-use crate::bookkeeping::schema::{Hold, Key, MachineRecord, Seat, to_value};
+use crate::bookkeeping::schema::{Hold, Key, MachineRecord, Role, to_value};
 use crate::units::{JobId, MachineId, Micros, Room, Term};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,9 +15,9 @@
     pub since: Micros,
 }
 
-/// A task on the machine that the books know nothing of.
+/// A task on the machine that the stored records know nothing of.
 #[derive(Clone, Debug)]
-pub(super) struct Stray {
+pub(super) struct UnrecordedTask {
     pub task: String,
     pub attempt: u64,
     pub exited: bool,
@@ -32,7 +32,7 @@
     pub last: Micros,
 }
 
-impl Stray {
+impl UnrecordedTask {
     /// Whether the worker may forget it. A late copy of a direct start would run a forgotten task
     /// again, perhaps while it runs elsewhere, after its job was cancelled or beyond its team's
     /// limit. Even one that is done would be on the machine for a moment.
@@ -41,6 +41,15 @@
     }
 }
 
+/// The newest report of a worker.
+#[derive(Clone, Copy, Default)]
+pub(super) struct LastReport {
+    pub session: u64,
+    pub number: u64,
+    /// It came from the worker itself, not through a sibling.
+    pub direct: bool,
+}
+
 #[derive(Default)]
 pub(super) struct Machine {
     /// Share it was last seen in.
@@ -56,7 +65,7 @@
     /// Last report answered in a way that may have renewed the lease.
     pub answered: Micros,
     /// Has shown our token since we took its share: what it reports counts.
-    pub fenced: bool,
+    pub term_confirmed: bool,
     pub notice: bool,
     /// A direct message is on its way.
     pub direct: bool,
@@ -69,22 +78,21 @@
     /// Not before then: a report may come first, whose answer says it without a message of its own.
     pub push_after: Micros,
     /// A direct command under this token got no answer and may be carried out at any time.
-    pub doubt: Option<Term>,
+    pub unacknowledged: Option<Term>,
     pub probes_failed: u32,
     /// Direct messages in a row without an answer, and since when. Unlike `probes_failed` a report
     /// alone does not undo them: it may come from a machine that can send but not hear.
     pub unanswered: u32,
     pub unanswered_since: Micros,
     /// When what was sent last that is known to have arrived.
-    pub heard_us: Micros,
+    pub last_delivered: Micros,
     /// When its newest report came.
     pub reported: Micros,
     /// Since when it is in this share, under this holder.
     pub owned_since: Micros,
-    /// The newest report: session, number, and whether it came straight from the worker.
-    pub checkin: (u64, u64, bool),
+    pub last_report: LastReport,
     pub next_probe: Micros,
-    pub strays: Vec<Stray>,
+    pub unrecorded: Vec<UnrecordedTask>,
     /// Of these exited ones that it may not forget yet.
     pub kept: usize,
     /// Images seen to be there, most recently used last, with their sizes in MB.
@@ -99,7 +107,7 @@
     /// A change of its record is on its way.
     pub writing: bool,
     /// Its first record is on its way.
-    pub adopting: bool,
+    pub registering: bool,
     /// It obeys a later term than ours: a successor's.
     pub outranked: bool,
 }
@@ -110,24 +118,24 @@
     }
 
     pub fn is_void(&self, task: &str, attempt: u64) -> bool {
-        self.strays.iter().any(|s| s.void && s.attempt == attempt && s.task == task)
+        self.unrecorded.iter().any(|s| s.void && s.attempt == attempt && s.task == task)
     }
 
     /// No command is in doubt and none of its probes failed since it was last heard.
     pub fn trusted(&self) -> bool {
-        self.doubt.is_none() && self.probes_failed == 0 && self.unanswered < 2
+        self.unacknowledged.is_none() && self.probes_failed == 0 && self.unanswered < 2
     }
 
     /// Whether it seems to hear nothing that it is sent, though its reports arrive. One whose reports stay
     /// away as well is silent, which is judged otherwise.
-    pub fn is_deaf(&self, now: Micros, probes: u32, span: Micros) -> bool {
+    pub fn is_unreachable(&self, now: Micros, probes: u32, span: Micros) -> bool {
         let reports = self.reported > self.unanswered_since;
         reports && self.unanswered >= probes && now.since(self.unanswered_since) >= span
     }
 
     /// Whether its reports don't get through, though it answers what it is sent: its lease runs out, and then again
     /// and again, with whatever it was given in between.
-    pub fn is_mute(&self, now: Micros, span: Micros) -> bool {
+    pub fn is_unreported(&self, now: Micros, span: Micros) -> bool {
         let silence = now.since(self.reported.max(self.owned_since));
         silence >= span && self.unanswered == 0 && now.since(self.heard) < silence
     }
@@ -143,7 +151,7 @@
 
     /// A sign that what was sent to it at some time arrived.
     pub fn hears(&mut self, sent: Micros) {
-        self.heard_us = self.heard_us.max(sent);
+        self.last_delivered = self.last_delivered.max(sent);
         if sent >= self.unanswered_since {
             self.unanswered = 0;
         }
@@ -160,18 +168,18 @@
     /// Its share was taken, or it came into another: what was known of it is void. Until now the
     /// former owner may have been heard by it and renewed its lease.
     pub fn new_owner(&mut self, now: Micros) {
-        self.fenced = false;
+        self.term_confirmed = false;
         self.outranked = false;
         self.push = true;
         self.push_after = Micros::ZERO;
         self.heard = now;
         self.owned_since = now;
         self.answered = now;
-        self.doubt = None;
+        self.unacknowledged = None;
         self.probes_failed = 0;
         self.unanswered = 0;
         self.failed_jobs.clear();
-        self.strays.clear();
+        self.unrecorded.clear();
     }
 
     /// Jobs that failed here a short while ago and had better try elsewhere.
@@ -193,14 +201,14 @@
 const MACHINES_EVERY: Micros = Micros::from_millis(100);
 
 impl Core {
-    pub(super) fn seat_of_machine(&self, id: &MachineId) -> Option<Seat> {
-        self.replica.machines.get(id).map(|m| Seat::Share(m.value.share))
+    pub(super) fn role_of_machine(&self, id: &MachineId) -> Option<Role> {
+        self.replica.machines.get(id).map(|m| Role::Share(m.value.share))
     }
 
     /// The token for orders to a machine of a share we hold.
     pub(super) fn token(&self, id: &MachineId) -> Option<Term> {
         let record = &self.replica.machines.get(id)?.value;
-        let term = self.held(Seat::Share(record.share))?;
+        let term = self.held(Role::Share(record.share))?;
         Some(term.max(record.term))
     }
 
@@ -211,13 +219,13 @@
 
     /// What is left on a machine after all starts not proven gone.
     pub(super) fn free_room(&self, id: &MachineId) -> Room {
-        self.machine_room(id).minus(&self.sums.used_on(id))
+        self.machine_room(id).minus(&self.usage.used_on(id))
     }
 
     /// Notes since when nothing runs on it.
     pub(super) fn machine_freed(&mut self, id: &MachineId) {
         let now = self.now();
-        let busy = self.sums.is_busy(id);
+        let busy = self.usage.is_busy(id);
         if let Some(machine) = self.machines.get_mut(id) {
             if busy {
                 machine.free_since = None;
@@ -232,7 +240,7 @@
         match self.replica.machines.get(id) {
             None => {
                 // Deleted: whatever was on it is gone.
-                for (job, task) in self.sums.starts_on(id) {
+                for (job, task) in self.usage.starts_on(id) {
                     self.start_gone(&job, task);
                 }
                 self.machines.remove(id);
@@ -246,25 +254,25 @@
                     machine.share = Some(share);
                     machine.new_owner(now);
                 }
-                if self.sums.is_empty(id) {
+                if self.usage.is_empty(id) {
                     machine.free_since.get_or_insert(now);
                 }
                 // A new term or share: only reports that carry it count.
                 let token_seen = machine.token_seen;
-                let fenced = self.token(id).is_some_and(|t| token_seen >= t);
+                let term_confirmed = self.token(id).is_some_and(|t| token_seen >= t);
                 if let Some(machine) = self.machines.get_mut(id) {
-                    machine.fenced = fenced;
-                    machine.push |= !fenced;
+                    machine.term_confirmed = term_confirmed;
+                    machine.push |= !term_confirmed;
                     if machine.push {
                         machine.push_after = Micros::ZERO;
                         self.pushes.insert(id.clone());
                     }
                 }
-                for held in std::mem::take(&mut self.unbooked) {
+                for held in std::mem::take(&mut self.unregistered) {
                     if held.report.machine == *id {
                         self.report(held.waiter, held.report, true);
                     } else {
-                        self.unbooked.push(held);
+                        self.unregistered.push(held);
                     }
                 }
             }
@@ -292,8 +300,8 @@
         for id in ids {
             let token = self.token(&id);
             if let Some(machine) = self.machines.get_mut(&id) {
-                machine.fenced = token.is_some_and(|t| machine.token_seen >= t);
-                machine.push |= !machine.fenced;
+                machine.term_confirmed = token.is_some_and(|t| machine.token_seen >= t);
+                machine.push |= !machine.term_confirmed;
                 machine.push_after = Micros::ZERO;
                 self.pushes.insert(id);
             }
@@ -304,7 +312,7 @@
         for id in ids {
             if let Some(machine) = self.machines.get_mut(id) {
                 machine.writing = false;
-                machine.adopting = false;
+                machine.registering = false;
             }
             self.leader.deleting.remove(id);
         }
@@ -313,11 +321,11 @@
     pub(super) fn tick_machines(&mut self) {
         let now = self.now();
         let late = Micros::from_millis(1000);
-        for held in std::mem::take(&mut self.unbooked) {
+        for held in std::mem::take(&mut self.unregistered) {
             if now.since(held.since) > late {
                 self.out.push(Effect::AnswerWorker(held.waiter, WorkerAnswer::Unavailable));
             } else {
-                self.unbooked.push(held);
+                self.unregistered.push(held);
             }
         }
         if now < self.next_machines {
@@ -328,20 +336,20 @@
             .replica
             .machines
             .iter()
-            .filter(|(_, m)| self.held(Seat::Share(m.value.share)).is_some())
+            .filter(|(_, m)| self.held(Role::Share(m.value.share)).is_some())
             .map(|(id, _)| id.clone())
             .collect();
-        let booked = &self.replica.machines;
-        self.machines.retain(|id, m| booked.contains_key(id) || m.direct || m.writing || m.adopting);
+        let recorded = &self.replica.machines;
+        self.machines.retain(|id, m| recorded.contains_key(id) || m.direct || m.writing || m.registering);
         self.judge_contact(&ours);
         self.expire_leases(&ours);
         self.clear_cancelled();
         self.probe(&ours);
-        self.judge_deaf(&ours);
+        self.judge_unreachable(&ours);
         self.replace_silent(&ours);
-        self.replace_deaf(&ours);
-        self.replace_mute(&ours);
-        self.fence_doubtful(&ours);
+        self.replace_unreachable(&ours);
+        self.replace_unreported(&ours);
+        self.renew_terms(&ours);
         self.retire_faulty(&ours);
         self.drain_retired(&ours);
         self.leave_noticed(&ours);
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -1,7 +1,7 @@
 //! What reaches a controller's core and what it has carried out: commands in, effects out.
 
 use crate::protocol::cloud::{MachineList, MachineNames, MachineTypes, Rental};
-use crate::protocol::peer::{Cancelled, Knows};
+use crate::protocol::peer::{CancellationAck, Cancelled};
 use crate::protocol::state::{Changes, Page, Txn};
 use crate::protocol::user::{JobStatus, Submission};
 use crate::protocol::worker::{DirectOrders, Orders, Report};
@@ -130,7 +130,7 @@
     /// What a sibling says that we told; nothing if no answer came.
     PeerAnswer {
         call: u64,
-        answer: Option<Knows>,
+        answer: Option<CancellationAck>,
     },
     Tick,
 }
@@ -212,5 +212,5 @@
         to: String,
         message: Cancelled,
     },
-    AnswerPeer(Waiter, Knows),
+    AnswerPeer(Waiter, CancellationAck),
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,7 +11,6 @@
 mod failure_detector;
 mod jobs;
 mod leader;
-pub mod lives;
 mod machine_terms;
 mod machines;
 mod messages;
@@ -23,10 +22,11 @@
 mod records;
 mod registration;
 mod reports;
-mod seats;
+mod roles;
 mod stages;
 mod tidying;
 mod txns;
+pub mod usage;
 mod users;
 pub mod versions;
 
@@ -53,8 +53,8 @@
     room: Room,
 }
 
-/// A report of a machine that is not in the books yet.
-struct Unbooked {
+/// A report of a machine that is not in the stored records yet.
+struct Unregistered {
     since: Micros,
     waiter: Waiter,
     report: Report,
@@ -70,20 +70,20 @@
     out: Vec<Effect>,
     replica: Replica,
     sync: reads::Sync,
-    /// When the books had been read.
+    /// When the stored records had been read.
     synced_at: Micros,
     reads: reads::Reads,
-    session: seats::Session,
-    seats: seats::Seats,
+    session: roles::Session,
+    roles: roles::Roles,
     txns: txns::Txns,
     users: users::Users,
     cancellations: cancellations::Cancellations,
     pipelines: pipelines::Pipelines,
     /// Jobs over because one that they need was cancelled, which their own keys don't say yet.
-    swept: BTreeSet<JobId>,
+    cascaded: BTreeSet<JobId>,
     /// The change budget.
     budget: budget::Budget,
-    sums: lives::Sums,
+    usage: usage::Usage,
     /// Tasks per run chunk.
     chunk_tasks: u32,
     jobs: BTreeMap<JobId, jobs::Job>,
@@ -101,15 +101,15 @@
     /// Last answer of the state service that was no refusal.
     state_heard: Micros,
     next_machines: Micros,
-    next_fence: Micros,
+    next_renewal: Micros,
     /// When more machines than could well be lost together last failed to answer.
-    many_deaf: Option<Micros>,
+    many_unreachable: Option<Micros>,
     /// The same for machines whose reports did not come.
-    many_mute: Option<Micros>,
+    many_unreported: Option<Micros>,
     /// When most of a zone's machines were last silent together.
     zones_cut: BTreeMap<String, Micros>,
-    /// Reports of machines that are just being taken into the books.
-    unbooked: Vec<Unbooked>,
+    /// Reports of machines that are just being taken into the stored records.
+    unregistered: Vec<Unregistered>,
     types: BTreeMap<String, TypeInfo>,
     types_asked: Micros,
     /// Jobs still to be looked at in this pass of decisions.
@@ -144,7 +144,7 @@
                 platform.deployment.nodes,
                 policy.state_limits_together,
             ),
-            sums: lives::Sums::default(),
+            usage: usage::Usage::default(),
             chunk_tasks: schema::chunk_tasks(platform.deployment.state.value_kb),
             platform,
             policy,
@@ -156,13 +156,13 @@
             sync: reads::Sync::default(),
             synced_at: Micros::ZERO,
             reads: reads::Reads::default(),
-            session: seats::Session::default(),
-            seats: seats::Seats::default(),
+            session: roles::Session::default(),
+            roles: roles::Roles::default(),
             txns: txns::Txns::default(),
             users: users::Users::default(),
             cancellations: cancellations::Cancellations::default(),
             pipelines: pipelines::Pipelines::default(),
-            swept: BTreeSet::new(),
+            cascaded: BTreeSet::new(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             pushes: BTreeSet::new(),
@@ -173,11 +173,11 @@
             probed_at: Micros::ZERO,
             state_heard: Micros::ZERO,
             next_machines: Micros::ZERO,
-            next_fence: Micros::ZERO,
-            many_deaf: None,
-            many_mute: None,
+            next_renewal: Micros::ZERO,
+            many_unreachable: None,
+            many_unreported: None,
             zones_cut: BTreeMap::new(),
-            unbooked: Vec::new(),
+            unregistered: Vec::new(),
             types: BTreeMap::new(),
             types_asked: Micros::ZERO,
             pass: VecDeque::new(),
@@ -192,7 +192,7 @@
         }
     }
 
-    /// Whether this controller can take requests: it has read the books once.
+    /// Whether this controller can take requests: it has read the stored records once.
     pub fn is_ready(&self) -> bool {
         self.sync.done
     }
@@ -222,8 +222,8 @@
             Command::Lease(outcome) => self.lease_outcome(outcome),
             Command::Orders { machine, outcome } => self.orders_outcome(&machine, outcome),
             Command::Cloud { call, outcome } => self.cloud_outcome(call, outcome),
-            Command::Peer(waiter, message) => self.told_by_sibling(waiter, &message),
-            Command::PeerAnswer { call, answer } => self.sibling_answered(call, answer),
+            Command::Peer(waiter, message) => self.cancellation_notified(waiter, &message),
+            Command::PeerAnswer { call, answer } => self.cancellation_acknowledged(call, answer),
             Command::Tick => self.tick(),
         }
     }
@@ -237,8 +237,8 @@
         for machine in self.machines.values_mut() {
             machine.excuse(now, pause);
         }
-        self.many_deaf = self.many_deaf.map(|_| now);
-        self.many_mute = self.many_mute.map(|_| now);
+        self.many_unreachable = self.many_unreachable.map(|_| now);
+        self.many_unreported = self.many_unreported.map(|_| now);
         self.renew_session_at_once();
         self.reads.wanted = true;
     }
@@ -251,11 +251,11 @@
         }
         self.tick_txns();
         self.budget.account(self.clock.steady);
-        self.tick_seats();
+        self.tick_roles();
         self.tick_machines();
         self.tick_types();
         self.tick_leader();
-        self.write_swept();
+        self.write_cascaded();
         self.pass_wanted = true;
     }
 
@@ -313,7 +313,7 @@
     fn changed(&mut self, changes: Vec<Change>) {
         for change in changes {
             match change {
-                Change::Seat(seat) => self.seat_changed(seat),
+                Change::Role(role) => self.role_changed(role),
                 Change::Machines(ids) => ids.iter().for_each(|id| self.machine_changed(id)),
                 Change::Jobs(ids) => ids.iter().for_each(|id| self.job_changed(id)),
                 Change::Run(id, chunk) => self.run_changed(&id, chunk),
@@ -342,7 +342,7 @@
         for waiter in waiters {
             fresh.out.push(Effect::AnswerUser(waiter, UserAnswer::Unavailable { retry_after_s: 1 }));
         }
-        for held in self.unbooked.drain(..) {
+        for held in self.unregistered.drain(..) {
             fresh.out.push(Effect::AnswerWorker(held.waiter, WorkerAnswer::Unavailable));
         }
         // Tickets go on counting, so that answers to old calls match nothing.
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -12,7 +12,7 @@
 use super::Core;
 use super::txns::{Draft, MachineChange, Purpose};
 use super::versions::{Mover, mover};
-use crate::bookkeeping::schema::{Hold, Key, MachineRecord, RecordVersion, Seat, to_value};
+use crate::bookkeeping::schema::{Hold, Key, MachineRecord, RecordVersion, Role, to_value};
 use crate::units::{MachineId, Micros, Term};
 use std::collections::BTreeMap;
 
@@ -30,7 +30,7 @@
     pub(super) fn plan_moves(&mut self) {
         let mut wanted = false;
         for (share, machines) in self.machines_to_move() {
-            if self.seats_for_moves(share).is_empty() {
+            if self.roles_for_moves(share).is_empty() {
                 continue;
             }
             wanted |= !machines.empty.is_empty();
@@ -47,25 +47,25 @@
     pub(super) fn send_moves(&mut self) {
         self.moves_due = None;
         for (share, machines) in self.machines_to_move() {
-            let seats = self.seats_for_moves(share);
-            if !seats.is_empty() && !machines.empty.is_empty() {
-                return self.send_moves_of(&seats, machines.empty);
+            let roles = self.roles_for_moves(share);
+            if !roles.is_empty() && !machines.empty.is_empty() {
+                return self.send_moves_of(&roles, machines.empty);
             }
         }
     }
 
     /// The roles by which this controller may move machines out of a share, which must last; none if it is not for
     /// it to do.
-    fn seats_for_moves(&self, share: u32) -> Vec<Seat> {
-        let holder = Seat::Share(share);
+    fn roles_for_moves(&self, share: u32) -> Vec<Role> {
+        let holder = Role::Share(share);
         let leads = self.is_leader() && self.surely_leads();
         if self.record_version() == RecordVersion::FIRST {
-            return if leads { vec![Seat::Leader] } else { Vec::new() };
+            return if leads { vec![Role::Leader] } else { Vec::new() };
         }
         match mover(&self.replica, share) {
             Mover::Holder if self.held(holder).is_some() => vec![holder],
             // Its holder is of the first version, and must still be when the machine moves.
-            Mover::Leader if leads => vec![Seat::Leader, holder],
+            Mover::Leader if leads => vec![Role::Leader, holder],
             _ => Vec::new(),
         }
     }
@@ -82,7 +82,7 @@
                 continue;
             }
             let machines = leaving.entry(held.value.share).or_default();
-            if self.sums.is_empty(id) {
+            if self.usage.is_empty(id) {
                 machines.empty.push((id.clone(), to));
             } else {
                 machines.occupied.push(id.clone());
@@ -92,13 +92,13 @@
     }
 
     /// Gives machines to their new shares, as many as one transaction takes.
-    fn send_moves_of(&mut self, seats: &[Seat], mut moves: Vec<(MachineId, u32)>) {
+    fn send_moves_of(&mut self, roles: &[Role], mut moves: Vec<(MachineId, u32)>) {
         moves.truncate(self.platform.deployment.state.ops() - 1);
         let term = Term(self.replica.term_now().0 + 1);
         let mut draft = Draft::default();
         draft.unchanged(&self.replica, Key::Term);
-        for seat in seats {
-            draft.unchanged(&self.replica, Key::Seat(*seat));
+        for role in roles {
+            draft.unchanged(&self.replica, Key::Role(*role));
         }
         draft.put(Key::Term, to_value(&term));
         let mut ids = Vec::new();
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -1,7 +1,8 @@
 //! Orders to workers: what a machine is to be told, in the answer to its report or in a direct message, and what the
 //! answer to such a message proves.
 
-use super::lives::Phase;
+use super::reports::Source;
+use super::usage::Phase;
 use super::{Core, Effect, Failure, OrdersOutcome};
 use crate::bookkeeping::schema::Hold;
 use crate::protocol::worker::{DirectOrders, Order};
@@ -40,16 +41,16 @@
         let doomed = self.replica.machines.get(id).is_none_or(|m| m.value.hold == Some(Hold::Doomed));
         let mut orders = Vec::new();
         // A copy of a start may be on its way: then forgetting the task would let it start again.
-        let may_forget = machine.doubt.is_none() && !machine.direct;
-        for stray in &machine.strays {
-            let (task, attempt) = (stray.task.clone(), stray.attempt);
-            if !stray.exited {
+        let may_forget = machine.unacknowledged.is_none() && !machine.direct;
+        for unrecorded in &machine.unrecorded {
+            let (task, attempt) = (unrecorded.task.clone(), unrecorded.attempt);
+            if !unrecorded.exited {
                 orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
-            } else if may_forget && stray.forgettable() {
+            } else if may_forget && unrecorded.forgettable() {
                 orders.push(Order::Forget { task, attempt });
             }
         }
-        let starts = self.sums.starts_on(id);
+        let starts = self.usage.starts_on(id);
         let session = machine.session;
         let mut never_sent = Vec::new();
         for (job_id, index) in starts {
@@ -113,11 +114,11 @@
             let Some(addr) = machine.addr else { continue };
             // Nothing is said to a machine that did not answer last time: it would only be in doubt.
             let alive = now.since(machine.heard) < recent && machine.unanswered == 0;
-            let fenced = machine.fenced;
+            let term_confirmed = machine.term_confirmed;
             let session = machine.session.max(1);
             // Without a report under our token an empty message makes the worker show it.
-            let orders = if fenced && alive { self.orders_for(&id, None) } else { Vec::new() };
-            if fenced && orders.is_empty() {
+            let orders = if term_confirmed && alive { self.orders_for(&id, None) } else { Vec::new() };
+            if term_confirmed && orders.is_empty() {
                 continue;
             }
             self.send_direct(&id, addr, DirectOrders { token, session, orders });
@@ -139,22 +140,22 @@
         self.direct_open = self.direct_open.saturating_sub(1);
         let token = self.token(id);
         let now = self.now();
-        let booked = self.replica.machines.contains_key(id);
+        let recorded = self.replica.machines.contains_key(id);
         let Some(machine) = self.machines.get_mut(id) else { return };
         machine.direct = false;
         if let OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) = &outcome
             && report.machine == *id
         {
             machine.hears(now);
-            if !booked && self.is_leader() {
+            if !recorded && self.is_leader() {
                 self.leader.alive.insert(id.clone(), now);
                 return;
             }
         }
         let Some(machine) = self.machines.get_mut(id) else { return };
-        let looking = self.seats.unfit || self.seats.looking_since.is_some();
+        let looking = self.roles.unfit || self.roles.looking_since.is_some();
         if looking && matches!(outcome, OrdersOutcome::Done(_) | OrdersOutcome::Rejected(_)) {
-            self.seats.answered += 1;
+            self.roles.answered += 1;
         }
         match outcome {
             OrdersOutcome::Done(report) | OrdersOutcome::Rejected(report) => {
@@ -172,7 +173,7 @@
                     return;
                 }
                 let wrong_session = report.session != machine.session;
-                self.take_report(&report, false);
+                self.take_report(&report, Source::DirectAnswer);
                 if wrong_session {
                     self.want_push(id);
                 }
@@ -180,7 +181,7 @@
             OrdersOutcome::Failed(Failure::NotDone) => machine.message_failed(now),
             OrdersOutcome::Failed(Failure::Unknown) => {
                 machine.message_failed(now);
-                machine.doubt = machine.doubt.max(Some(machine.direct_token));
+                machine.unacknowledged = machine.unacknowledged.max(Some(machine.direct_token));
             }
         }
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -3,8 +3,8 @@
 
 use super::Core;
 use super::jobs::Job;
-use super::lives::{Live, Phase};
-use crate::bookkeeping::schema::Seat;
+use super::usage::{Phase, Start};
+use crate::bookkeeping::schema::Role;
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::units::{JobId, MachineId, Micros, Room};
 use std::collections::{BTreeMap, HashMap};
@@ -127,7 +127,7 @@
     /// submission, put off the more the more work is left. With more asked than can be done, pure
     /// order of submission makes all late; this way the small ones are on time, and as the time of
     /// submission counts too, no large one waits for ever.
-    fn turn(&self, job: &Job) -> Micros {
+    fn scheduling_time(&self, job: &Job) -> Micros {
         if let Some(due) = job.urgency.due {
             return due;
         }
@@ -149,10 +149,13 @@
         let mut waiting: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.recorded && !j.locked && j.waiting() > 0 && self.held(Seat::Share(j.share)).is_some())
+            .filter(|(_, j)| j.recorded && !j.locked && j.waiting() > 0 && self.held(Role::Share(j.share)).is_some())
             .map(|(id, job)| {
                 let (overdue, within) = (self.is_overdue(job), self.within_guarantee(job));
-                ((std::cmp::Reverse(job.urgency.priority), !overdue, !within, self.turn(job), job.ready), id.clone())
+                (
+                    (std::cmp::Reverse(job.urgency.priority), !overdue, !within, self.scheduling_time(job), job.ready),
+                    id.clone(),
+                )
             })
             .collect();
         waiting.sort();
@@ -164,7 +167,7 @@
             return false;
         };
         let guaranteed = Room::new(team.cpus, team.gpus, 0.0);
-        let used = self.sums.used_by(&team.name).plus(&job.room);
+        let used = self.usage.used_by(&team.name).plus(&job.room);
         used.cpus <= guaranteed.cpus && used.gpus <= guaranteed.gpus
     }
 
@@ -209,8 +212,8 @@
             .filter(|(id, _)| !self.is_cleared(id))
             .filter_map(|(id, record)| {
                 let machine = self.machines.get(id)?;
-                let heard = now.since(machine.heard) <= recent && !machine.is_mute(now, unreported);
-                if !machine.fenced || machine.notice || !heard || !machine.trusted() {
+                let heard = now.since(machine.heard) <= recent && !machine.is_unreported(now, unreported);
+                if !machine.term_confirmed || machine.notice || !heard || !machine.trusted() {
                     return None;
                 }
                 Some(Spot {
@@ -232,7 +235,7 @@
     fn place_job(&mut self, id: &JobId, field: &mut Field) {
         let Some(job) = self.jobs.get(id) else { return };
         let share = job.share;
-        if job.locked || !job.recorded || job.over.is_some() || self.held(Seat::Share(share)).is_none() {
+        if job.locked || !job.recorded || job.over.is_some() || self.held(Role::Share(share)).is_none() {
             return;
         }
         let gang = job.spec.kind == Kind::Gang;
@@ -264,7 +267,7 @@
                 return;
             };
             let at = choices.at[chosen];
-            self.propose(id, task, &mut spots[at]);
+            self.decide_start(id, task, &mut spots[at]);
             if begins {
                 // It has begun; the rest comes in its turn.
                 return;
@@ -300,7 +303,7 @@
                 }
                 let Some(chosen) = self.chosen(job, &choices) else { break };
                 let at = choices.at[chosen];
-                self.propose(id, task, &mut spots[at]);
+                self.decide_start(id, task, &mut spots[at]);
                 self.choose_again(id, spots, &mut choices, chosen, zone.as_deref());
                 placed.push(task);
             }
@@ -308,7 +311,7 @@
                 return;
             }
             for task in placed {
-                self.withdraw_proposal(id, task);
+                self.withdraw_start(id, task);
             }
             for (spot, free) in spots.iter_mut().zip(before) {
                 spot.free = free;
@@ -323,7 +326,7 @@
             return true;
         };
         let limit = Room::new(team.cpus_max, team.gpus_max, 0.0);
-        let next = self.sums.used_by(&team.name).plus(&job.room);
+        let next = self.usage.used_by(&team.name).plus(&job.room);
         (limit.cpus == 0 || next.cpus <= limit.cpus) && (limit.gpus == 0 || next.gpus <= limit.gpus)
     }
 
@@ -332,7 +335,7 @@
         let spec = &*job.spec;
         let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
         if spec.one_zone || spec.spread {
-            // Every start in the books counts, also those saving or out of reach.
+            // Every start in the stored records counts, also those saving or out of reach.
             for live in job.live.values().filter(|l| l.occupies()) {
                 if let Some(record) = self.replica.machines.get(live.machine()) {
                     *per_zone.entry(record.value.zone.clone()).or_default() += 1;
@@ -400,9 +403,9 @@
             pending.push((&fetch.image, left.max(0.0)));
         }
         // Starts decided or told, whose fetch has not shown up in a report yet.
-        for (id, task) in self.sums.placed(&spot.id).into_iter().flat_map(|p| &p.starts) {
+        for (id, task) in self.usage.placed(&spot.id).into_iter().flat_map(|p| &p.starts) {
             let Some(other) = self.jobs.get(id) else { continue };
-            let waits = other.live.get(*task).is_some_and(|l| matches!(l.phase(), Phase::Proposed | Phase::Recorded));
+            let waits = other.live.get(*task).is_some_and(|l| matches!(l.phase(), Phase::Decided | Phase::Recorded));
             let other_image = other.spec.image.as_str();
             if waits && !machine.holds(other_image) && !pending.iter().any(|(i, _)| *i == other_image) {
                 pending.push((other_image, other.spec.image_gb * 1000.0));
@@ -420,21 +423,21 @@
         Candidate { ready, holds: false, tie }
     }
 
-    fn propose(&mut self, id: &JobId, task: u32, spot: &mut Spot) {
+    fn decide_start(&mut self, id: &JobId, task: u32, spot: &mut Spot) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.take_task(task);
         job.not_before.remove(&task);
-        let live = Live::new(0, spot.id.clone(), spot.session, Phase::Proposed);
-        job.live.insert(task, live, &mut self.sums);
+        let live = Start::new(0, spot.id.clone(), spot.session, Phase::Decided);
+        job.live.insert(task, live, &mut self.usage);
         spot.free = spot.free.minus(&job.room);
         if let Some(machine) = self.machines.get_mut(&spot.id) {
             machine.free_since = None;
         }
     }
 
-    fn withdraw_proposal(&mut self, id: &JobId, task: u32) {
+    fn withdraw_start(&mut self, id: &JobId, task: u32) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if let Some(live) = job.live.remove(task, &mut self.sums) {
+        if let Some(live) = job.live.remove(task, &mut self.usage) {
             job.redo.insert(task);
             self.machine_freed(live.machine());
         }
@@ -492,7 +495,7 @@
         let now = self.now();
         let machine = self.machines.get(&spot.id)?;
         let mut lower: Vec<(Micros, JobId, u32, Room)> = self
-            .sums
+            .usage
             .placed(&spot.id)?
             .starts
             .iter()
--- a/src/coordination/reads.rs
+++ b/src/coordination/reads.rs
@@ -90,7 +90,7 @@
         self.replica.applied = first;
         self.sync.done = true;
         self.synced_at = self.now();
-        tracing::info!(revision = first.0, jobs = self.replica.jobs.len(), "books read");
+        tracing::info!(revision = first.0, jobs = self.replica.jobs.len(), "stored records read");
         let machines: Vec<_> = self.replica.machines.keys().cloned().collect();
         for id in machines {
             self.machine_changed(&id);
@@ -102,7 +102,7 @@
             self.job_changed(&id);
         }
         self.watch();
-        self.tick_seats();
+        self.tick_roles();
     }
 
     /// Sends a fresh read if anybody waits for one.
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -5,19 +5,28 @@
 
 use super::Core;
 use super::jobs::Job;
-use super::lives::{Live, Phase};
 use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose};
+use super::usage::{Phase, Start};
 use super::versions::leader_leaves_moves;
-use crate::bookkeeping::schema::{EndRecord, Key, RunChunk, Seat, StartRecord, to_value};
+use crate::bookkeeping::schema::{EndRecord, Key, Role, RunChunk, StartRecord, to_value};
 use crate::bookkeeping::{Replica, Versioned};
 use crate::protocol::user::Kind;
-use crate::protocol::worker::Why;
+use crate::protocol::worker::ExitCause;
 use crate::settings::Policy;
 use crate::units::{JobId, MachineId, Micros};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 type StoredChunks = BTreeMap<u32, Versioned<RunChunk>>;
 
+/// A job whose records are to be brought up to date.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct DueRecord {
+    /// Until then it may wait for others when the change budget is short.
+    pub latest: Micros,
+    share: u32,
+    id: JobId,
+}
+
 /// What one transaction may hold.
 #[derive(Clone, Copy)]
 struct TxnLimits {
@@ -31,7 +40,7 @@
 enum MachineGuard {
     /// Its record is a condition of each start there: the leader moves machines by itself.
     Records,
-    /// The leader's seat is a condition: this leader leaves it to the share's holder to move its machines, which is
+    /// The leader's role is a condition: this leader leaves it to the share's holder to move its machines, which is
     /// this controller. One condition, however many machines the starts name.
     Leadership,
 }
@@ -55,11 +64,11 @@
         ChunkChanges { stored, chunk_tasks, limits, guard, chunks, machines, left_over: false }
     }
 
-    /// Conditions besides those that the guard takes for each machine: the share's seat, the outcome, perhaps the
-    /// leader's seat, and each chunk.
+    /// Conditions besides those that the guard takes for each machine: the share's role, the outcome, perhaps the
+    /// leader's role, and each chunk.
     fn conditions(&self) -> usize {
-        let seats = if self.guard == MachineGuard::Leadership { 2 } else { 1 };
-        seats + 1 + self.chunks.len()
+        let roles = if self.guard == MachineGuard::Leadership { 2 } else { 1 };
+        roles + 1 + self.chunks.len()
     }
 
     /// Whether so many machines' conditions fit, with one more chunk if `chunk` isn't among those changed.
@@ -90,18 +99,19 @@
     }
 
     /// Adds a start, under the attempt of its gang or the next of its chunk; says which.
-    fn add_start(&mut self, task: u32, live: &Live, gang_attempt: Option<u64>) -> u64 {
+    fn add_start(&mut self, task: u32, live: &Start, gang_attempt: Option<u64>) -> u64 {
         self.machines.insert(live.machine().clone());
         let chunk = self.chunk_of(task);
         let attempt = gang_attempt.unwrap_or(chunk.attempts + 1);
         chunk.attempts = attempt;
-        chunk.starts.push(StartRecord(task, attempt, live.machine().clone(), live.session));
+        let machine = live.machine().clone();
+        chunk.starts.push(StartRecord { task, attempt, machine, session: live.session });
         attempt
     }
 
     fn remove_start(&mut self, task: u32, done: bool) {
         let chunk = self.chunk_of(task);
-        chunk.starts.retain(|s| s.0 != task);
+        chunk.starts.retain(|start| start.task != task);
         if done {
             chunk.mark_done(task);
         }
@@ -142,7 +152,7 @@
     fn write(self, replica: &Replica, id: &JobId, writer: u64, draft: &mut Draft) {
         match self.guard {
             MachineGuard::Leadership if !self.machines.is_empty() => {
-                draft.unchanged(replica, Key::Seat(Seat::Leader));
+                draft.unchanged(replica, Key::Role(Role::Leader));
             }
             MachineGuard::Leadership => {}
             MachineGuard::Records => {
@@ -168,10 +178,10 @@
         if all {
             self.progress_since = None;
         }
-        let pressing = |live: &Live| live.phase() == Phase::Proposed || is_lost(live);
+        let pressing = |live: &Start| live.phase() == Phase::Decided || is_lost(live);
         let pressed: BTreeSet<u32> =
             self.live.iter().filter(|(_, live)| pressing(live)).map(|(task, _)| task / chunk_tasks).collect();
-        let due = |task: u32, live: &Live| {
+        let due = |task: u32, live: &Start| {
             pressing(live) || (!live.occupies() && (all || pressed.contains(&(task / chunk_tasks))))
         };
         self.live.iter().filter(|(task, live)| due(*task, live)).map(|(task, _)| task).collect()
@@ -189,8 +199,8 @@
                 continue;
             }
             let Some(live) = self.live.get_mut(task) else { continue };
-            if live.phase() != Phase::Proposed {
-                changes.remove_start(task, gang_done || live.phase() == Phase::Ended(Why::Done));
+            if live.phase() != Phase::Decided {
+                changes.remove_start(task, gang_done || live.phase() == Phase::Ended(ExitCause::Done));
                 continue;
             }
             let machine = replica.machines.get(live.machine());
@@ -218,16 +228,16 @@
 }
 
 impl Core {
-    /// Jobs whose books are to be brought up to date, those that can wait least first, and until
+    /// Jobs whose records are to be brought up to date, those that can wait least first, and until
     /// when each may wait for others when the change budget is short.
-    pub(super) fn due_records(&mut self) -> Vec<(Micros, u32, JobId)> {
+    pub(super) fn due_records(&mut self) -> Vec<DueRecord> {
         let now = self.now();
         let delay = Micros::from_millis(self.policy.record_delay_ms);
         let batch_delay = Micros::from_millis(self.policy.batch_delay_ms);
         let idle = self.budget.is_idle(now);
         let mut due = Vec::new();
         let mut settled = Vec::new();
-        for id in &self.sums.touched {
+        for id in &self.usage.touched {
             let Some(job) = self.jobs.get_mut(id) else {
                 settled.push(id.clone());
                 continue;
@@ -236,8 +246,8 @@
                 continue;
             }
             // Its owner's matter; all are looked at again when the share is taken. Swept jobs have nothing in the
-            // books but the outcome that is written with others'.
-            if self.swept.contains(id) || !self.seats.held.contains_key(&Seat::Share(job.share)) {
+            // records but the outcome that is written with others'.
+            if self.cascaded.contains(id) || !self.roles.held.contains_key(&Role::Share(job.share)) {
                 settled.push(id.clone());
                 continue;
             }
@@ -246,7 +256,7 @@
                 continue;
             };
             let since = *job.dirty_since.get_or_insert(now);
-            // What an urgent job waits for is over no sooner than its outcome is in the books.
+            // What an urgent job waits for is over no sooner than its outcome is in the stored records.
             let need_soon = if need == Need::Outcome && job.is_urgent() { Need::Urgent } else { need };
             let latest = since + Micros::from_millis(need_soon.patience_ms(&self.policy));
             // What can wait goes when there is nothing better to do, or with company. Where machines are
@@ -259,10 +269,10 @@
             if waits {
                 continue;
             }
-            due.push((latest, job.share, id.clone()));
+            due.push(DueRecord { latest, share: job.share, id: id.clone() });
         }
         for id in settled {
-            self.sums.touched.remove(&id);
+            self.usage.touched.remove(&id);
         }
         due.sort();
         due
@@ -270,19 +280,19 @@
 
     /// Writes down what was decided and seen about the first job of `due`, and about as many of the
     /// next ones as fit the same transaction.
-    pub(super) fn record(&mut self, due: &mut VecDeque<(Micros, u32, JobId)>) {
+    pub(super) fn record(&mut self, due: &mut VecDeque<DueRecord>) {
         let limits = self.txn_limits();
         // Near the limit the service rather refuses large transactions than small ones.
         let rate = self.platform.deployment.state.write_rps;
         let enough = ((rate * self.policy.txn_part) as usize).clamp(4, limits.writes);
-        let Some(share) = due.front().map(|(_, share, _)| *share) else { return };
-        let seat = Seat::Share(share);
+        let Some(share) = due.front().map(|first| first.share) else { return };
+        let role = Role::Share(share);
         let mut draft = Draft::default();
         let mut ids: Vec<JobId> = Vec::new();
-        while due.front().is_some_and(|(_, s, _)| *s == share) {
-            let Some((_, _, id)) = due.pop_front() else { break };
+        while due.front().is_some_and(|next| next.share == share) {
+            let Some(DueRecord { id, .. }) = due.pop_front() else { break };
             let what = self.jobs.get(&id).and_then(Need::of).map_or("nothing", Need::name);
-            let part = self.job_part(&id, seat, limits);
+            let part = self.job_part(&id, role, limits);
             self.budget.count(what, part.txn.writes.len());
             if part.txn.writes.is_empty() {
                 self.job_txn_over(&id);
@@ -316,7 +326,7 @@
     }
 
     /// The part of a transaction that brings one job's records up to date. Locks the job.
-    fn job_part(&mut self, id: &JobId, seat: Seat, limits: TxnLimits) -> Draft {
+    fn job_part(&mut self, id: &JobId, role: Role, limits: TxnLimits) -> Draft {
         let writer = self.nonce();
         let now = self.now();
         let progress_patience = Micros::from_millis(self.policy.progress_patience_ms);
@@ -331,13 +341,13 @@
         let mut changes = ChunkChanges::new(stored, self.chunk_tasks, limits, guard);
         let tasks = job.tasks_to_record(now, self.chunk_tasks, progress_patience);
         for task in job.change_chunks(tasks, &self.replica, &mut changes) {
-            job.live.remove(task, &mut self.sums);
+            job.live.remove(task, &mut self.usage);
             job.redo.insert(task);
         }
         if changes.left_over {
             job.dirty_since = Some(Micros::ZERO);
         }
-        draft.unchanged(&self.replica, Key::Seat(seat));
+        draft.unchanged(&self.replica, Key::Role(role));
         let end = Key::End(id.clone());
         if job.over.is_none() {
             draft.unchanged(&self.replica, end.clone());
@@ -353,7 +363,7 @@
             return draft;
         }
         if changes.drop_too_large() {
-            tracing::debug!(job = %id, "a part of its books is larger than may be written now");
+            tracing::debug!(job = %id, "a part of its records is larger than may be written now");
             job.too_large_until = now + TOO_LARGE_PAUSE;
             job.dirty_since = Some(Micros::ZERO);
             if finishes {
@@ -366,22 +376,22 @@
     }
 }
 
-/// A job whose books are too large to be written is looked at again after so long.
+/// A job whose records are too large to be written is looked at again after so long.
 const TOO_LARGE_PAUSE: Micros = Micros::from_millis(500);
 
 /// Whether its task has to start once more.
-fn is_lost(live: &Live) -> bool {
+fn is_lost(live: &Start) -> bool {
     match live.phase() {
         Phase::Gone => true,
-        Phase::Ended(why) => why != Why::Done,
+        Phase::Ended(why) => why != ExitCause::Done,
         _ => false,
     }
 }
 
-/// What a job's books lack, the most pressing of it.
+/// What a job's records lack, the most pressing of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Need {
-    /// A start of urgent work, or a service that is down until a lost place is out of the books.
+    /// A start of urgent work, or a service that is down until a lost place is out of the stored records.
     Urgent,
     /// Its outcome, which its user waits for.
     Outcome,
@@ -400,7 +410,7 @@
             return Some(Need::Outcome);
         }
         // Tasks done press in no job; taken for urgent they'd be looked at in vain in every round.
-        if job.live.proposed() > 0 || (job.live.settled() > 0 && job.live.values().any(is_lost)) {
+        if job.live.decided() > 0 || (job.live.settled() > 0 && job.live.values().any(is_lost)) {
             return Some(if urgent { Need::Urgent } else { Need::Batch });
         }
         (job.live.settled() > 0 || job.dirty_since == Some(Micros::ZERO)).then_some(Need::Progress)
--- a/src/coordination/registration.rs
+++ b/src/coordination/registration.rs
@@ -4,7 +4,7 @@
 use super::txns::{CONDITIONS_PER_WRITE, Draft, MachineChange, Purpose};
 use super::users::VALUE_FILL;
 use super::{Core, Effect};
-use crate::bookkeeping::schema::{FleetMember, Key, MachineRecord, Seat, to_value};
+use crate::bookkeeping::schema::{FleetMember, Key, MachineRecord, Role, to_value};
 use crate::protocol::worker::Report;
 use crate::units::{MachineId, Micros, Term};
 
@@ -13,13 +13,13 @@
 
 impl Core {
     /// Machines that report and have no record get one, in the share that needs them most.
-    pub(super) fn adopt(&mut self) {
+    pub(super) fn register_machines(&mut self) {
         let mut members: Vec<FleetMember> = Vec::new();
         let mut refused = Vec::new();
         let limits = self.platform.deployment.state.clone();
         let room = (limits.least_value_kb() * 1024.0 * VALUE_FILL) as usize;
         let mut size = 0;
-        let reports: Vec<_> = self.unbooked.iter().map(|held| held.report.clone()).collect();
+        let reports: Vec<_> = self.unregistered.iter().map(|held| held.report.clone()).collect();
         let now = self.now();
         self.leader.alive.retain(|_, at| now.since(*at) < ALIVE_SPAN);
         for report in reports {
@@ -33,7 +33,7 @@
                 refused.push(id);
                 continue;
             }
-            if self.machines.get(&id).is_some_and(|m| m.adopting) {
+            if self.machines.get(&id).is_some_and(|m| m.registering) {
                 continue;
             }
             // A report may be a late copy, and its machine long gone. Only one that answers when
@@ -54,7 +54,7 @@
             };
             let member = FleetMember { id, record };
             let more = serde_json::to_string(&member).map_or(room, |text| text.len() + 1);
-            // The seat's condition and the fleet's own leave room for so many machines'.
+            // The role's condition and the fleet's own leave room for so many machines'.
             if size + more > room || members.len() + 2 == limits.ops() * CONDITIONS_PER_WRITE {
                 break;
             }
@@ -62,9 +62,9 @@
             members.push(member);
         }
         if !members.is_empty() {
-            self.take_in(members);
+            self.record_registrations(members);
         }
-        self.unbooked.retain(|held| {
+        self.unregistered.retain(|held| {
             let keep = !refused.contains(&held.report.machine);
             if !keep {
                 self.out.push(Effect::AnswerWorker(held.waiter, super::WorkerAnswer::Unavailable));
@@ -73,13 +73,13 @@
         });
     }
 
-    /// Writes down machines that are not in the books, all in one value unless it is a single one.
-    fn take_in(&mut self, members: Vec<FleetMember>) {
+    /// Writes down machines that are not in the stored records, all in one value unless it is a single one.
+    fn record_registrations(&mut self, members: Vec<FleetMember>) {
         let mut draft = Draft::default();
-        draft.unchanged(&self.replica, Key::Seat(Seat::Leader));
+        draft.unchanged(&self.replica, Key::Role(Role::Leader));
         let ids: Vec<MachineId> = members.iter().map(|m| m.id.clone()).collect();
         for id in &ids {
-            self.machines.entry(id.clone()).or_default().adopting = true;
+            self.machines.entry(id.clone()).or_default().registering = true;
             self.leader.boots.remove(id);
             draft.unchanged(&self.replica, Key::Machine(id.clone()));
         }
@@ -91,11 +91,11 @@
                 draft.put(name, to_value(&members));
             }
         }
-        self.submit_txn(draft, Purpose::Machines(MachineChange::Adopt, ids));
+        self.submit_txn(draft, Purpose::Machines(MachineChange::Register, ids));
     }
 
     /// The share with the most unmet need, else the one with the least room for its teams.
-    fn neediest_share(&mut self, report: &Report, taken_in: &[FleetMember]) -> u32 {
+    fn neediest_share(&mut self, report: &Report, registered: &[FleetMember]) -> u32 {
         let cpus = self.types.get(&report.machine_type).map_or(1_000_000, |t| t.room.cpus);
         // The most urgent tasks that it can really take decide, wherever else room is lacking.
         let mut slot = Slot {
@@ -133,8 +133,8 @@
             teams.fill(1);
         }
         let mut have = vec![0u64; shares as usize];
-        let booked = self.replica.machines.values().map(|held| &held.value);
-        for record in booked.chain(taken_in.iter().map(|m| &m.record)) {
+        let recorded = self.replica.machines.values().map(|held| &held.value);
+        for record in recorded.chain(registered.iter().map(|m| &m.record)) {
             if let Some(sum) = have.get_mut(record.share as usize) {
                 *sum += self.types.get(&record.machine_type).map_or(1_000_000, |t| t.room.cpus);
             }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -1,17 +1,26 @@
 //! Reports of workers: which are new, what they prove about tasks, and what is answered.
 
-use super::lives::Phase;
-use super::machines::{Failures, Fetch, Stray};
+use super::machines::{Failures, Fetch, LastReport, UnrecordedTask};
 use super::orders::ORDERS_MAX;
-use super::{Core, Effect, Unbooked, Waiter, WorkerAnswer};
-use crate::bookkeeping::schema::Seat;
-use crate::protocol::worker::{Orders, Report, TaskState, Why};
-use crate::units::{JobId, MachineId, TaskId};
+use super::usage::Phase;
+use super::{Core, Effect, Unregistered, Waiter, WorkerAnswer};
+use crate::bookkeeping::schema::Role;
+use crate::protocol::worker::{ExitCause, Order, Orders, Report, TaskState};
+use crate::units::{JobId, MachineId, TaskId, Term};
 use std::collections::BTreeSet;
 
 /// Exited tasks a worker is left with before its machine gets a new term so that it may forget them.
 const EXITED_KEPT: usize = 60;
 
+/// How a worker's account of itself came.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    /// As a report, which the worker sends only after it is through with the answer to the one before.
+    Report,
+    /// As the answer to a direct message.
+    DirectAnswer,
+}
+
 impl Core {
     pub(super) fn report(&mut self, waiter: Waiter, report: Report, relayed: bool) {
         let answer = match self.sync.done {
@@ -25,77 +34,95 @@
 
     fn report_answer(&mut self, waiter: Waiter, report: Report, relayed: bool) -> Option<WorkerAnswer> {
         let id = report.machine.clone();
-        let Some(seat) = self.seat_of_machine(&id) else {
-            if self.is_leader() {
-                self.unbooked.push(Unbooked { since: self.now(), waiter, report });
-                return None;
-            }
-            return Some(match self.other_holder(Seat::Leader) {
-                Some(leader) => WorkerAnswer::Redirect(Some(leader)),
-                None => WorkerAnswer::Unavailable,
-            });
-        };
-        let Some(token) = self.token(&id) else {
-            return Some(match self.other_holder(seat) {
-                Some(owner) => WorkerAnswer::Redirect(Some(owner)),
-                None => WorkerAnswer::Unavailable,
-            });
-        };
+        let Some(role) = self.role_of_machine(&id) else { return self.unregistered_report(waiter, report) };
+        let Some(token) = self.token(&id) else { return Some(self.redirect_to_holder(role)) };
         if report.token > token {
-            // Somebody has a later term than we know of, or this is news from the future of
-            // another share: learn which, and draw a higher one if the machine is ours after all.
-            self.reads.wanted = true;
-            if let Some(machine) = self.machines.get_mut(&id) {
-                machine.doubt = Some(report.token);
-                machine.outranked = true;
-                machine.fenced = false;
-                machine.heard = self.clock.steady;
-            }
+            self.later_term_shown(&id, report.token);
             return Some(WorkerAnswer::Redirect(None));
         }
+        if !self.note_report(&report, relayed) {
+            return Some(WorkerAnswer::Unavailable);
+        }
+        self.take_report(&report, Source::Report);
+        let orders = self.orders_in_answer(&report);
+        Some(WorkerAnswer::Orders(Orders { token, orders }))
+    }
+
+    /// A machine without a record: the leader may register it, others send its worker there.
+    fn unregistered_report(&mut self, waiter: Waiter, report: Report) -> Option<WorkerAnswer> {
+        if self.is_leader() {
+            self.unregistered.push(Unregistered { since: self.now(), waiter, report });
+            return None;
+        }
+        Some(self.redirect_to_holder(Role::Leader))
+    }
+
+    fn redirect_to_holder(&self, role: Role) -> WorkerAnswer {
+        match self.other_holder(role) {
+            Some(holder) => WorkerAnswer::Redirect(Some(holder)),
+            None => WorkerAnswer::Unavailable,
+        }
+    }
+
+    /// Somebody has a later term than we know of, or this is news from the future of another share: learn which, and
+    /// draw a higher one if the machine is ours after all.
+    fn later_term_shown(&mut self, id: &MachineId, token: Term) {
+        self.reads.wanted = true;
         let now = self.now();
-        let machine = self.machines.entry(id.clone()).or_default();
-        let (session, seq, straight) = machine.checkin;
-        if (report.session, report.seq) <= (session, seq) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.unacknowledged = Some(token);
+            machine.outranked = true;
+            machine.term_confirmed = false;
+            machine.heard = now;
+        }
+    }
+
+    /// Whether a report is newer than the one before, and what its number tells of what the worker has heard.
+    fn note_report(&mut self, report: &Report, relayed: bool) -> bool {
+        let now = self.now();
+        let machine = self.machines.entry(report.machine.clone()).or_default();
+        let last = machine.last_report;
+        if (report.session, report.seq) <= (last.session, last.number) {
             // A copy of a report we have seen, for which nobody waits any more. Or a worker that began
             // anew and counts from the start: an answer would renew a lease that we then take for run
             // out. Asked directly it can't show less than it did before, unless it has begun anew.
             machine.ask = true;
-            return Some(WorkerAnswer::Unavailable);
+            return false;
         }
         // A worker that did not hear our last answer would have gone to another controller first.
-        if straight && !relayed && session == report.session && report.seq == seq + 1 {
+        if last.direct && !relayed && last.session == report.session && report.seq == last.number + 1 {
             machine.hears(machine.answered);
         }
         // It said something since that did not reach us: perhaps it did not hear our last answer, and it may be that
         // nothing reaches it. What waits for its next report would never tell.
         machine.ask |= report.session == machine.session && report.seq > machine.seq + 1;
-        machine.checkin = (report.session, report.seq, !relayed);
+        machine.last_report = LastReport { session: report.session, number: report.seq, direct: !relayed };
         machine.reported = now;
-        self.take_report(&report, true);
-        let fenced = match self.machines.get_mut(&id) {
-            Some(machine) => {
-                machine.answered = now;
-                machine.fenced && machine.session == report.session
-            }
-            None => false,
-        };
-        // Before the worker has shown our token its report proves nothing; the answer's token
-        // makes it report again at once.
-        let orders = if fenced { self.orders_for(&id, Some(report.seq)) } else { Vec::new() };
-        if let Some(machine) = self.machines.get_mut(&id)
-            && fenced
+        true
+    }
+
+    /// Orders for the answer to a report that was just taken in. Before the worker has shown our token its report
+    /// proves nothing; the answer's token makes it report again at once.
+    fn orders_in_answer(&mut self, report: &Report) -> Vec<Order> {
+        let now = self.now();
+        let id = &report.machine;
+        let Some(machine) = self.machines.get_mut(id) else { return Vec::new() };
+        machine.answered = now;
+        if !machine.term_confirmed || machine.session != report.session {
+            return Vec::new();
+        }
+        let orders = self.orders_for(id, Some(report.seq));
+        if let Some(machine) = self.machines.get_mut(id)
             && orders.len() < ORDERS_MAX
         {
             // All is said.
             machine.push = false;
         }
-        Some(WorkerAnswer::Orders(Orders { token, orders }))
+        orders
     }
 
-    /// Takes in a worker's account of itself. `checkin`: it came as a report, which the worker
-    /// sends only after it is through with the answer to the one before.
-    pub(super) fn take_report(&mut self, report: &Report, checkin: bool) {
+    /// Takes in a worker's account of itself.
+    pub(super) fn take_report(&mut self, report: &Report, source: Source) {
         let now = self.now();
         let id = &report.machine;
         let Some(token) = self.token(id) else { return };
@@ -103,17 +130,17 @@
         if (report.session, report.seq) <= (machine.session, machine.seq) {
             return;
         }
-        let fenced = report.token >= token;
+        let term_confirmed = report.token >= token;
         machine.outranked = report.token > token;
         // A report without our token may be a copy from before our time: no sign of life.
-        if fenced || !checkin {
+        if term_confirmed || source == Source::DirectAnswer {
             machine.heard = now;
             machine.probes_failed = 0;
         }
         if report.session > machine.session {
             // A new session comes with a lease of its own.
             machine.answered = now;
-            machine.strays.clear();
+            machine.unrecorded.clear();
             machine.fetches.clear();
         }
         machine.session = report.session;
@@ -123,38 +150,38 @@
         if let Some(addr) = report.addr.as_ref().and_then(|a| a.parse().ok()) {
             machine.addr = Some(addr);
         }
-        let first = !machine.fenced;
-        machine.fenced = fenced;
-        if !machine.fenced {
+        let first = !machine.term_confirmed;
+        machine.term_confirmed = term_confirmed;
+        if !machine.term_confirmed {
             return;
         }
-        if machine.doubt.is_some_and(|d| report.token > d) {
-            machine.doubt = None;
+        if machine.unacknowledged.is_some_and(|d| report.token > d) {
+            machine.unacknowledged = None;
         }
         if first {
             // Until it showed our token a former owner may have gone on renewing its lease.
             machine.answered = now;
         }
         self.pass_wanted |= first;
-        self.take_tasks(report, checkin, first);
+        self.take_tasks(report, source, first);
     }
 
     /// `first`: this is the first message that shows the machine's present token.
-    fn take_tasks(&mut self, report: &Report, checkin: bool, first: bool) {
+    fn take_tasks(&mut self, report: &Report, source: Source, first: bool) {
         let id = &report.machine;
-        let mut strays = Vec::new();
+        let mut unrecorded = Vec::new();
         let mut seen: BTreeSet<(JobId, u32)> = BTreeSet::new();
         for reported in &report.tasks {
-            let exited = (reported.state == TaskState::Exited).then(|| reported.why.unwrap_or(Why::Unknown));
+            let exited = (reported.state == TaskState::Exited).then(|| reported.why.unwrap_or(ExitCause::Unknown));
             let known = TaskId::parse(&reported.task).filter(|t| {
                 self.jobs.get(&t.job).and_then(|j| j.live.get(t.index)).is_some_and(|l| {
-                    *l.machine() == *id && l.attempt == reported.attempt && l.phase() != Phase::Proposed
+                    *l.machine() == *id && l.attempt == reported.attempt && l.phase() != Phase::Decided
                 })
             });
             let Some(task) = known else {
                 let (task, attempt) = (reported.task.clone(), reported.attempt);
                 let void = first || self.machines.get(id).is_some_and(|m| m.is_void(&task, attempt));
-                strays.push(Stray { task, attempt, exited: exited.is_some(), void });
+                unrecorded.push(UnrecordedTask { task, attempt, exited: exited.is_some(), void });
                 continue;
             };
             seen.insert((task.job.clone(), task.index));
@@ -164,24 +191,24 @@
             }
         }
         let Some(machine) = self.machines.get_mut(id) else { return };
-        let kept = strays.iter().filter(|s| s.exited && !s.forgettable()).count();
-        machine.strays = strays;
+        let kept = unrecorded.iter().filter(|s| s.exited && !s.forgettable()).count();
+        machine.unrecorded = unrecorded;
         machine.kept = kept;
-        if kept > EXITED_KEPT && machine.doubt.is_none() {
+        if kept > EXITED_KEPT && machine.unacknowledged.is_none() {
             // A new term makes them forgettable.
-            machine.doubt = Some(report.token);
+            machine.unacknowledged = Some(report.token);
         }
-        let quiet = !machine.direct && machine.doubt.is_none();
-        let mut starts = self.sums.starts_on(id);
+        let quiet = !machine.direct && machine.unacknowledged.is_none();
+        let mut starts = self.usage.starts_on(id);
         starts.retain(|s| !seen.contains(s));
         for (job, task) in starts {
             let Some(live) = self.jobs.get(&job).and_then(|j| j.live.get(task)) else { continue };
-            if live.phase() == Phase::Proposed || !live.occupies() {
+            if live.phase() == Phase::Decided || !live.occupies() {
                 continue;
             }
             let earlier_session = live.session < report.session;
             // Not there, and no command of ours is on its way that could still start it.
-            let absent = checkin && quiet && live.session == report.session && report.seq > live.seq;
+            let absent = source == Source::Report && quiet && live.session == report.session && report.seq > live.seq;
             let unwanted = live.stop.is_some() || live.phase().on_machine();
             if earlier_session || (absent && unwanted) {
                 self.start_gone(&job, task);
@@ -213,7 +240,7 @@
         if phase == Phase::Running {
             live.running_since.get_or_insert(now);
         }
-        job.live.set_phase(task.index, phase, &mut self.sums);
+        job.live.set_phase(task.index, phase, &mut self.usage);
         if phase == Phase::Fetching {
             if let Some(machine) = self.machines.get_mut(id)
                 && !machine.fetches.iter().any(|f| f.image == image)
@@ -250,20 +277,20 @@
         machine.image_used(image, megabytes, capacity_mb);
     }
 
-    fn exit_seen(&mut self, id: &MachineId, task: &TaskId, why: Why) {
+    fn exit_seen(&mut self, id: &MachineId, task: &TaskId, why: ExitCause) {
         let now = self.now();
         let Some(job) = self.jobs.get(&task.job) else { return };
         if !job.live.get(task.index).is_some_and(|l| l.occupies()) {
             return;
         }
-        if matches!(why, Why::Done) {
+        if matches!(why, ExitCause::Done) {
             let (image, megabytes) = (job.spec.image.clone(), job.spec.image_gb * 1000.0);
             self.image_seen(id, &image, megabytes);
         }
         if let Some(machine) = self.machines.get_mut(id) {
             match why {
-                Why::Done => machine.failed_jobs.clear(),
-                Why::Error => {
+                ExitCause::Done => machine.failed_jobs.clear(),
+                ExitCause::Error => {
                     let failures =
                         machine.failed_jobs.entry(task.job.clone()).or_insert(Failures { count: 0, last: now });
                     failures.count += 1;
--- a/src/coordination/seats.rs
+++ b/src/coordination/roles.rs
@@ -1,13 +1,13 @@
-//! The controller's session in the state service, and the seats (shares, leadership) it holds.
+//! The controller's session in the state service, and the roles (shares, leadership) it holds.
 //!
-//! A seat's key is bound to its holder's session, so it vanishes with it. Taking one draws the
-//! next term from the one counter in the same transaction. A controller holds a seat only once
+//! A role's key is bound to its holder's session, so it vanishes with it. Taking one draws the
+//! next term from the one counter in the same transaction. A controller holds a role only once
 //! the watch has shown it the key: then its replica also has every start recorded before.
 
 use super::machines::Machine;
 use super::txns::{Draft, Purpose};
 use super::{Core, Effect, LeaseOutcome, StateCall};
-use crate::bookkeeping::schema::{Key, NodeRecord, Seat, SeatRecord, to_value};
+use crate::bookkeeping::schema::{Key, NodeRecord, Role, RoleRecord, to_value};
 use crate::units::{MachineId, Micros, Term};
 use std::collections::BTreeMap;
 
@@ -22,11 +22,11 @@
 }
 
 #[derive(Default)]
-pub(super) struct Seats {
-    /// Since when each seat has been seen without a holder.
-    free_since: BTreeMap<Seat, Micros>,
-    /// Seats held, with the terms under which they were last seen.
-    pub held: BTreeMap<Seat, Term>,
+pub(super) struct Roles {
+    /// Since when each role has been seen without a holder.
+    free_since: BTreeMap<Role, Micros>,
+    /// Roles held, with the terms under which they were last seen.
+    pub held: BTreeMap<Role, Term>,
     /// Since when each sibling's node key has been seen.
     siblings_since: BTreeMap<String, Micros>,
     taking: bool,
@@ -46,25 +46,25 @@
         self.platform.deployment.nodes
     }
 
-    /// The term of a seat this process holds.
-    pub(super) fn held(&self, seat: Seat) -> Option<Term> {
-        self.seats.held.get(&seat).copied()
+    /// The term of a role this process holds.
+    pub(super) fn held(&self, role: Role) -> Option<Term> {
+        self.roles.held.get(&role).copied()
     }
 
     pub(super) fn is_leader(&self) -> bool {
-        self.held(Seat::Leader).is_some()
+        self.held(Role::Leader).is_some()
     }
 
-    /// Whether nobody else can lead: the session that the seat is bound to surely lasts. A leader
-    /// cut off from the state service knows old books only, and rents and deletes nothing by them.
+    /// Whether nobody else can lead: the session that the role is bound to surely lasts. A leader
+    /// cut off from the state service knows old records only, and rents and deletes nothing by them.
     pub(super) fn surely_leads(&self) -> bool {
         let lasts = Micros(Micros::from_millis(self.policy.session_ms).0 / 10 * 9);
         self.is_leader() && self.session.prolonged.is_some_and(|at| self.now().since(at) < lasts)
     }
 
-    /// Label of whoever holds a seat, if it is another controller.
-    pub(super) fn other_holder(&self, seat: Seat) -> Option<String> {
-        self.replica.seats.get(&seat).map(|s| s.value.owner.clone()).filter(|o| *o != self.label)
+    /// Label of whoever holds a role, if it is another controller.
+    pub(super) fn other_holder(&self, role: Role) -> Option<String> {
+        self.replica.roles.get(&role).map(|s| s.value.owner.clone()).filter(|o| *o != self.label)
     }
 
     pub(super) fn tick_session(&mut self) {
@@ -94,7 +94,7 @@
                 self.session.lease = Some(lease);
                 self.session.prolonged = Some(self.session.sent);
                 self.session.next = self.now() + renew;
-                self.tick_seats();
+                self.tick_roles();
             }
             LeaseOutcome::Touched => {
                 self.session.prolonged = Some(self.session.sent);
@@ -110,22 +110,22 @@
     }
 
     /// The session has ended and with it all that was bound to it, whatever the replica still shows.
-    /// Nothing is decided any more before the books tell who holds what.
+    /// Nothing is decided any more before the stored records tell who holds what.
     pub(super) fn session_ended(&mut self) {
         self.session.lease = None;
         self.session.prolonged = None;
-        for seat in std::mem::take(&mut self.seats.held).into_keys() {
-            tracing::info!(?seat, "lost: the session has ended");
-            match seat {
-                Seat::Leader => self.leader_changed(),
-                Seat::Share(share) => self.share_changed(share),
+        for role in std::mem::take(&mut self.roles.held).into_keys() {
+            tracing::info!(?role, "lost: the session has ended");
+            match role {
+                Role::Leader => self.leader_changed(),
+                Role::Share(share) => self.share_changed(share),
             }
         }
         self.reads.wanted = true;
     }
 
-    fn seat_list(&self) -> Vec<Seat> {
-        std::iter::once(Seat::Leader).chain((0..self.shares()).map(Seat::Share)).collect()
+    fn role_list(&self) -> Vec<Role> {
+        std::iter::once(Role::Leader).chain((0..self.shares()).map(Role::Share)).collect()
     }
 
     /// Labels of all controllers in order; the same on each of them.
@@ -136,55 +136,55 @@
         labels
     }
 
-    /// How far down the order this controller stands for a seat; 0 stands first.
-    fn distance(&self, seat: Seat) -> u32 {
+    /// How far down the order this controller stands for a role; 0 stands first.
+    fn distance(&self, role: Role) -> u32 {
         let labels = self.labels();
         let n = labels.len() as u32;
         let me = labels.iter().position(|l| *l == self.label).unwrap_or(0) as u32;
-        let home = match seat {
-            Seat::Leader => 0,
-            Seat::Share(k) => k % n,
+        let home = match role {
+            Role::Leader => 0,
+            Role::Share(k) => k % n,
         };
         (me + n - home) % n
     }
 
-    pub(super) fn tick_seats(&mut self) {
+    pub(super) fn tick_roles(&mut self) {
         let now = self.now();
         if !self.sync.done {
             return;
         }
         let Some(lease) = self.session.lease else { return };
         self.note_siblings();
-        if now < self.seats.not_before {
+        if now < self.roles.not_before {
             return;
         }
         let record =
-            NodeRecord { incarnation: self.incarnation, unfit: self.seats.unfit, version: self.record_version() };
-        if self.replica.nodes.get(&self.label).map(|n| &n.value) != Some(&record) && !self.seats.node_writing {
-            self.seats.node_writing = true;
+            NodeRecord { incarnation: self.incarnation, unfit: self.roles.unfit, version: self.record_version() };
+        if self.replica.nodes.get(&self.label).map(|n| &n.value) != Some(&record) && !self.roles.node_writing {
+            self.roles.node_writing = true;
             let mut txn = Draft::default();
             txn.put_bound(Key::Node(self.label.clone()), to_value(&record), lease);
             self.submit_txn(txn, Purpose::Node);
         }
-        if self.seats.taking {
+        if self.roles.taking {
             return;
         }
-        if self.seats.unfit && self.fit_sibling() {
+        if self.roles.unfit && self.fit_sibling() {
             self.give_up_share();
             return;
         }
         let step = Micros::from_millis(self.policy.takeover_step_ms);
-        for seat in self.seat_list() {
-            let record = self.replica.seats.get(&seat).map(|s| s.value.clone());
+        for role in self.role_list() {
+            let record = self.replica.roles.get(&role).map(|s| s.value.clone());
             let take = match &record {
                 // Held by an earlier process under our label, which is surely dead.
                 Some(r) if r.owner == self.label => r.incarnation != self.incarnation,
                 Some(_) => false,
                 None => {
-                    let since = *self.seats.free_since.entry(seat).or_insert(now);
-                    let burden = self.seats.held.len() as u64;
-                    let distance = u64::from(self.distance(seat));
-                    // When all begin at once, some have read the books a moment before the others: a
+                    let since = *self.roles.free_since.entry(role).or_insert(now);
+                    let burden = self.roles.held.len() as u64;
+                    let distance = u64::from(self.distance(role));
+                    // When all begin at once, some have read the stored records a moment before the others: a
                     // share taken from one of these would be handed back, and all its machines asked
                     // anew twice.
                     let early = now.since(self.synced_at) < Micros::from_millis(self.policy.settle_ms);
@@ -196,71 +196,71 @@
                 }
             };
             if record.is_some() {
-                self.seats.free_since.remove(&seat);
+                self.roles.free_since.remove(&role);
             }
             if take {
-                self.take_seat(seat, lease, Term(self.replica.term_now().0 + 1));
+                self.take_role(role, lease, Term(self.replica.term_now().0 + 1));
                 return;
             }
         }
         self.hand_back();
     }
 
-    /// Writes us down as a seat's holder under a new term.
-    fn take_seat(&mut self, seat: Seat, lease: u64, term: Term) {
-        let record = SeatRecord {
+    /// Writes us down as a role's holder under a new term.
+    fn take_role(&mut self, role: Role, lease: u64, term: Term) {
+        let record = RoleRecord {
             owner: self.label.clone(),
             incarnation: self.incarnation,
             term,
             version: self.record_version(),
         };
         let mut txn = Draft::default();
-        txn.unchanged(&self.replica, Key::Seat(seat));
+        txn.unchanged(&self.replica, Key::Role(role));
         txn.unchanged(&self.replica, Key::Term);
-        txn.put_bound(Key::Seat(seat), to_value(&record), lease);
+        txn.put_bound(Key::Role(role), to_value(&record), lease);
         txn.put(Key::Term, to_value(&term));
-        self.seats.taking = true;
-        self.submit_txn(txn, Purpose::Seat);
+        self.roles.taking = true;
+        self.submit_txn(txn, Purpose::Role);
     }
 
     /// Gives a share we hold a new term.
     pub(super) fn renew_share(&mut self, share: u32, term: Term) {
-        let seat = Seat::Share(share);
+        let role = Role::Share(share);
         let Some(lease) = self.session.lease else { return };
-        if !self.seats.taking && self.held(seat).is_some() {
-            self.take_seat(seat, lease, term);
+        if !self.roles.taking && self.held(role).is_some() {
+            self.take_role(role, lease, term);
         }
     }
 
     fn note_siblings(&mut self) {
         let now = self.now();
         let nodes = &self.replica.nodes;
-        self.seats.siblings_since.retain(|label, _| nodes.contains_key(label));
+        self.roles.siblings_since.retain(|label, _| nodes.contains_key(label));
         for label in nodes.keys().filter(|l| **l != self.label) {
-            self.seats.siblings_since.entry(label.clone()).or_insert(now);
+            self.roles.siblings_since.entry(label.clone()).or_insert(now);
         }
     }
 
     /// Gives up one share if a sibling that has been back for a while holds none.
     fn hand_back(&mut self) {
-        let shares: Vec<Seat> = self.seats.held.keys().copied().filter(|s| matches!(s, Seat::Share(_))).collect();
+        let shares: Vec<Role> = self.roles.held.keys().copied().filter(|s| matches!(s, Role::Share(_))).collect();
         if shares.len() < 2 {
             return;
         }
         let patience = Micros::from_millis(self.policy.hand_back_after_ms);
         let now = self.now();
-        let idle = self.seats.siblings_since.iter().find(|(label, since)| {
+        let idle = self.roles.siblings_since.iter().find(|(label, since)| {
             now.since(**since) >= patience
                 && self.replica.nodes.get(*label).is_some_and(|n| !n.value.unfit)
-                && !self.replica.seats.iter().any(|(s, r)| matches!(s, Seat::Share(_)) && r.value.owner == **label)
+                && !self.replica.roles.iter().any(|(s, r)| matches!(s, Role::Share(_)) && r.value.owner == **label)
         });
         if idle.is_none() {
             return;
         }
         // The one that stands farthest from us in the order, so that its home takes it first.
-        let Some(seat) = shares.into_iter().max_by_key(|s| self.distance(*s)) else { return };
-        tracing::info!(?seat, "handing back");
-        self.release(seat);
+        let Some(role) = shares.into_iter().max_by_key(|s| self.distance(*s)) else { return };
+        tracing::info!(?role, "handing back");
+        self.release(role);
     }
 
     fn fit_sibling(&self) -> bool {
@@ -269,10 +269,10 @@
 
     /// A controller that can't reach its machines leaves its shares to one that may.
     fn give_up_share(&mut self) {
-        let share = self.seats.held.keys().copied().find(|s| matches!(s, Seat::Share(_)));
-        if let Some(seat) = share {
-            tracing::warn!(?seat, "given up: most machines can't be reached from here");
-            self.release(seat);
+        let share = self.roles.held.keys().copied().find(|s| matches!(s, Role::Share(_)));
+        if let Some(role) = share {
+            tracing::warn!(?role, "given up: most machines can't be reached from here");
+            self.release(role);
         }
     }
 
@@ -280,93 +280,93 @@
     /// all machines whether it is back.
     pub(super) fn judge_contact(&mut self, ours: &[MachineId]) {
         let now = self.now();
-        if self.seats.unfit {
-            if self.seats.answered >= 2 {
+        if self.roles.unfit {
+            if self.roles.answered >= 2 {
                 tracing::info!("machines can be reached again");
-                self.seats.unfit = false;
-            } else if now >= self.seats.next_look {
-                self.seats.next_look = now + Micros::from_millis(1000);
+                self.roles.unfit = false;
+            } else if now >= self.roles.next_look {
+                self.roles.next_look = now + Micros::from_millis(1000);
                 self.look_for_machines();
             }
             return;
         }
         let patience = Micros::from_millis(self.policy.lose_contact_ms);
-        let deaf = |m: &Machine| m.is_deaf(now, self.policy.mute_probes, patience);
+        let unreachable = |m: &Machine| m.is_unreachable(now, self.policy.unreachable_probes, patience);
         let silent = |id: &&MachineId| {
-            let lost = |m: &Machine| (m.probes_failed >= 2 && now.since(m.heard) >= patience) || deaf(m);
+            let lost = |m: &Machine| (m.probes_failed >= 2 && now.since(m.heard) >= patience) || unreachable(m);
             self.machines.get(*id).is_some_and(lost)
         };
         let lost = ours.iter().filter(silent).count();
         if ours.is_empty() || lost * 3 < ours.len() * 2 {
-            self.seats.looking_since = None;
+            self.roles.looking_since = None;
             return;
         }
         // A few machines may well be lost together; then those of other shares tell.
-        let since = match self.seats.looking_since {
+        let since = match self.roles.looking_since {
             Some(since) => since,
             None => {
-                self.seats.looking_since = Some(now);
-                self.seats.answered = 0;
+                self.roles.looking_since = Some(now);
+                self.roles.answered = 0;
                 self.look_for_machines();
                 now
             }
         };
         let others = self.replica.machines.len() > ours.len();
-        let none_answers = others && self.seats.answered == 0 && now.since(since) >= Micros::from_millis(2000);
+        let none_answers = others && self.roles.answered == 0 && now.since(since) >= Micros::from_millis(2000);
         if ours.len() >= 3 || none_answers {
-            self.seats.unfit = true;
-            self.seats.answered = 0;
-            self.seats.looking_since = None;
+            self.roles.unfit = true;
+            self.roles.answered = 0;
+            self.roles.looking_since = None;
         }
     }
 
-    fn release(&mut self, seat: Seat) {
+    fn release(&mut self, role: Role) {
         let mut txn = Draft::default();
-        txn.unchanged(&self.replica, Key::Seat(seat));
-        txn.delete(Key::Seat(seat));
-        self.seats.taking = true;
-        self.submit_txn(txn, Purpose::Seat);
+        txn.unchanged(&self.replica, Key::Role(role));
+        txn.delete(Key::Role(role));
+        self.roles.taking = true;
+        self.submit_txn(txn, Purpose::Role);
     }
 
-    pub(super) fn seat_txn_over(&mut self, purpose: &Purpose, failed: bool) {
+    pub(super) fn role_txn_over(&mut self, purpose: &Purpose, failed: bool) {
         match purpose {
-            Purpose::Node => self.seats.node_writing = false,
-            _ => self.seats.taking = false,
+            Purpose::Node => self.roles.node_writing = false,
+            _ => self.roles.taking = false,
         }
         if failed {
-            self.seats.not_before = self.now() + Micros::from_millis(100);
+            self.roles.not_before = self.now() + Micros::from_millis(100);
         }
         self.reads.wanted = true;
     }
 
-    pub(super) fn seat_changed(&mut self, seat: Seat) {
+    pub(super) fn role_changed(&mut self, role: Role) {
         let mine = self
             .replica
-            .seats
-            .get(&seat)
+            .roles
+            .get(&role)
             .filter(|s| s.value.owner == self.label && s.value.incarnation == self.incarnation)
             .map(|s| s.value.term);
-        let before = self.seats.held.get(&seat).copied();
+        let before = self.roles.held.get(&role).copied();
         if mine == before {
             return;
         }
         match mine {
             Some(term) => {
-                self.seats.held.insert(seat, term);
-                if let (Seat::Share(share), Some(_)) = (seat, before) {
-                    tracing::debug!(?seat, term = term.0, "has a new term");
+                self.roles.held.insert(role, term);
+                if let (Role::Share(share), Some(_)) = (role, before) {
+                    tracing::debug!(?role, term = term.0, "has a new term");
                     return self.share_renewed(share);
                 }
-                tracing::info!(?seat, term = term.0, "took over");
+                tracing::info!(?role, term = term.0, "took over");
             }
             None => {
-                self.seats.held.remove(&seat);
-                tracing::info!(?seat, "lost");
+                self.roles.held.remove(&role);
+                tracing::info!(?role, "lost");
             }
         }
-        match seat {
-            Seat::Leader => self.leader_changed(),
-            Seat::Share(share) => self.share_changed(share),
+        match role {
+            Role::Leader => self.leader_changed(),
+            Role::Share(share) => self.share_changed(share),
         }
     }
 }
--- a/src/coordination/stages.rs
+++ b/src/coordination/stages.rs
@@ -1,6 +1,6 @@
 //! Jobs that wait for others: when they are ready, and what becomes of them when one they need is cancelled.
 //!
-//! That a job is over because one it needs was cancelled follows from the books alone: the other's outcome is
+//! That a job is over because one it needs was cancelled follows from the stored records alone: the other's outcome is
 //! written once, and nothing of a job starts before all it needs are done. So every controller derives it for
 //! itself and may tell it at once, and there are no tasks to end. The job's own outcome is written when there is
 //! time for it, so that its batch can be cleared away.
@@ -9,7 +9,7 @@
 use super::jobs::Job;
 use super::pipelines::Urgency;
 use super::txns::{Draft, Purpose};
-use crate::bookkeeping::schema::{EndRecord, JobRecord, Key, Outcome, Seat, to_value};
+use crate::bookkeeping::schema::{EndRecord, JobRecord, Key, Outcome, Role, to_value};
 use crate::protocol::user::{JobSpec, Priority};
 use crate::units::{JobId, Micros};
 
@@ -22,11 +22,11 @@
     /// What became of a job, whether its own key says so or that of one it needs.
     pub(super) fn outcome(&self, id: &JobId) -> Option<Outcome> {
         let written = self.replica.ends.get(id).map(|e| e.value.outcome);
-        written.or_else(|| self.swept.contains(id).then_some(Outcome::Cancelled))
+        written.or_else(|| self.cascaded.contains(id).then_some(Outcome::Cancelled))
     }
 
     /// Whether all jobs it awaits are known to have been accepted.
-    pub(super) fn knows_awaited(&self, spec: &JobSpec) -> bool {
+    pub(super) fn awaited_exist(&self, spec: &JobSpec) -> bool {
         spec.awaits.iter().all(|id| self.replica.jobs.contains_key(id) || self.replica.ends.contains_key(id))
     }
 
@@ -75,7 +75,7 @@
             job.held = held || cancelled;
         }
         if cancelled {
-            self.sweep(id);
+            self.cascade(id);
             self.job_over(id);
         }
     }
@@ -87,13 +87,13 @@
     }
 
     /// A job that waits for a cancelled one is over.
-    fn sweep(&mut self, id: &JobId) {
+    fn cascade(&mut self, id: &JobId) {
         if self.replica.ends.contains_key(id) {
             return;
         }
         if let Some(job) = self.jobs.get_mut(id) {
             job.over = Some(Outcome::Cancelled);
-            self.swept.insert(id.clone());
+            self.cascaded.insert(id.clone());
         }
     }
 
@@ -102,7 +102,7 @@
         let mut open = vec![id.clone()];
         while let Some(id) = open.pop() {
             if self.replica.ends.contains_key(&id) {
-                self.swept.remove(&id);
+                self.cascaded.remove(&id);
             }
             let Some(outcome) = self.outcome(&id) else { continue };
             let done = outcome == Outcome::Done;
@@ -110,7 +110,7 @@
                 if done {
                     self.ready(&follower);
                 } else {
-                    self.sweep(&follower);
+                    self.cascade(&follower);
                     open.push(follower);
                 }
             }
@@ -129,13 +129,13 @@
     }
 
     /// Writes down, in the shares held here, that swept jobs are over. Nobody waits for it.
-    pub(super) fn write_swept(&mut self) {
-        if self.swept.is_empty() || self.txns.sweeping() {
+    pub(super) fn write_cascaded(&mut self) {
+        if self.cascaded.is_empty() || self.txns.cascading() {
             return;
         }
         let most = self.platform.deployment.state.ops();
-        let ours = |id: &&JobId| self.jobs.get(*id).is_some_and(|j| self.held(Seat::Share(j.share)).is_some());
-        let ids: Vec<JobId> = self.swept.iter().filter(ours).take(most).cloned().collect();
+        let ours = |id: &&JobId| self.jobs.get(*id).is_some_and(|j| self.held(Role::Share(j.share)).is_some());
+        let ids: Vec<JobId> = self.cascaded.iter().filter(ours).take(most).cloned().collect();
         if ids.is_empty() {
             return;
         }
@@ -144,10 +144,10 @@
             draft.unchanged(&self.replica, Key::End(id.clone()));
             draft.put(Key::End(id.clone()), to_value(&EndRecord::cancelled(self.clock.wall)));
         }
-        self.submit_txn(draft, Purpose::Sweep);
+        self.submit_txn(draft, Purpose::Cascade);
     }
 
-    /// Whether a chunk of a job's books can name one more start and stay within what may be written. A start that
+    /// Whether a chunk of a job's records can name one more start and stay within what may be written. A start that
     /// ends leaves a range at most, which is shorter.
     pub(super) fn chunk_has_room(&self, id: &JobId, job: &Job, chunk: u32) -> bool {
         let tasks = chunk * self.chunk_tasks..(chunk + 1).saturating_mul(self.chunk_tasks);
--- a/src/coordination/tidying.rs
+++ b/src/coordination/tidying.rs
@@ -2,7 +2,7 @@
 
 use super::Core;
 use super::txns::{Draft, Purpose};
-use crate::bookkeeping::schema::{Key, Seat};
+use crate::bookkeeping::schema::{Key, Role};
 use crate::units::{JobId, Micros};
 use std::collections::BTreeSet;
 
@@ -28,7 +28,7 @@
         let unnamed = self.leader.unnamed.iter().filter(|(_, since)| now.since(**since) >= UNNAMED_SPAN);
         let pieces = unnamed.flat_map(|(name, _)| {
             let numbers = replica.pieces.get(name).into_iter().flat_map(|p| p.keys());
-            numbers.map(move |number| Key::Piece(name.clone(), *number))
+            numbers.map(move |number| Key::AwaitedPart(name.clone(), *number))
         });
         // A note about a machine may go only once no fleet brings the machine back.
         let keys: Vec<Key> = batches
@@ -42,7 +42,7 @@
             return;
         }
         let mut draft = Draft::default();
-        draft.unchanged(&self.replica, Key::Seat(Seat::Leader));
+        draft.unchanged(&self.replica, Key::Role(Role::Leader));
         for key in keys {
             draft.unchanged(&self.replica, key.clone());
             draft.delete(key);
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum MachineChange {
     /// They have come up.
-    Adopt,
+    Register,
     /// They go to another share, or stay after all.
     Move,
     /// Nobody needs them any more.
@@ -32,38 +32,38 @@
 pub(super) enum Purpose {
     Submit(Vec<JobId>),
     /// Lists of a large submission, under that name.
-    Pieces(String),
+    AwaitedParts(String),
     Cancel(JobId),
     Node,
-    Seat,
+    Role,
     Machines(MachineChange, Vec<MachineId>),
     Jobs(Vec<JobId>),
     /// Clearing away what nothing needs any more.
     Tidy,
     /// Outcomes that follow from others'.
-    Sweep,
+    Cascade,
 }
 
 impl Purpose {
     fn name(&self) -> &'static str {
         match self {
-            Purpose::Submit(_) | Purpose::Pieces(_) => "submissions",
+            Purpose::Submit(_) | Purpose::AwaitedParts(_) => "submissions",
             Purpose::Cancel(_) => "cancellations",
-            Purpose::Node | Purpose::Seat => "seats",
-            Purpose::Machines(MachineChange::Adopt, _) => "machines adopted",
+            Purpose::Node | Purpose::Role => "roles",
+            Purpose::Machines(MachineChange::Register, _) => "machines adopted",
             Purpose::Machines(MachineChange::Move, _) => "machines moved",
             Purpose::Machines(MachineChange::Return, _) => "machines returned",
             Purpose::Machines(MachineChange::Replace, _) => "machines replaced",
             Purpose::Machines(MachineChange::Term, _) => "machine terms",
             Purpose::Jobs(_) => "jobs",
             Purpose::Tidy => "tidying",
-            Purpose::Sweep => "followers",
+            Purpose::Cascade => "followers",
         }
     }
 
     /// A user waits for it.
     fn urgent(&self) -> bool {
-        matches!(self, Purpose::Submit(_) | Purpose::Pieces(_) | Purpose::Cancel(_))
+        matches!(self, Purpose::Submit(_) | Purpose::AwaitedParts(_) | Purpose::Cancel(_))
     }
 }
 
@@ -94,8 +94,8 @@
         self.pending.values().any(|p| p.purpose == Purpose::Tidy)
     }
 
-    pub fn sweeping(&self) -> bool {
-        self.pending.values().any(|p| p.purpose == Purpose::Sweep)
+    pub fn cascading(&self) -> bool {
+        self.pending.values().any(|p| p.purpose == Purpose::Cascade)
     }
 
     /// Of those that wait for the change budget the one that can wait least.
@@ -155,15 +155,15 @@
 pub(super) const CONDITIONS_PER_WRITE: usize = 4;
 
 impl Core {
-    /// Puts a transaction in the queue for the change budget. Seats don't wait: everything else
+    /// Puts a transaction in the queue for the change budget. Roles don't wait: everything else
     /// depends on them.
     pub(super) fn submit_txn(&mut self, draft: Draft, purpose: Purpose) {
         let patience = match purpose {
-            Purpose::Node | Purpose::Seat => return self.send_txn(draft, purpose),
-            Purpose::Submit(_) | Purpose::Pieces(_) | Purpose::Cancel(_) => self.policy.user_patience_ms,
+            Purpose::Node | Purpose::Role => return self.send_txn(draft, purpose),
+            Purpose::Submit(_) | Purpose::AwaitedParts(_) | Purpose::Cancel(_) => self.policy.user_patience_ms,
             Purpose::Machines(..) => self.policy.machine_patience_ms,
             Purpose::Jobs(_) => self.policy.batch_patience_ms,
-            Purpose::Tidy | Purpose::Sweep => self.policy.tidy_patience_ms,
+            Purpose::Tidy | Purpose::Cascade => self.policy.tidy_patience_ms,
         };
         let latest = self.now() + Micros::from_millis(patience);
         self.txns.next_ticket += 1;
@@ -189,7 +189,7 @@
         self.out.push(Effect::State(StateCall::Txn { ticket, txn, urgent }));
     }
 
-    /// Spends the change budget on what can wait least: queued transactions and the books of jobs,
+    /// Spends the change budget on what can wait least: queued transactions and the stored records of jobs,
     /// which are only now put into words, so that they hold all there is to say. Submissions go
     /// before: one change takes in many.
     pub(super) fn spend(&mut self) {
@@ -202,7 +202,7 @@
         }
         let mut due: VecDeque<_> = self.due_records().into();
         while self.budget.allows(now) {
-            let record = due.front().map(|(latest, ..)| (*latest, Next::Record));
+            let record = due.front().map(|first| (first.latest, Next::Record));
             let queued = self.txns.first_queued().map(|(latest, ticket)| (latest, Next::Queued(ticket)));
             let moves = self.moves_due.map(|latest| (latest, Next::Moves));
             // Of equals the first: what is queued is ready to go.
@@ -270,8 +270,8 @@
             // What was refused for the limit waits until the budget allows it.
             let Some(pending) = self.txns.pending.get_mut(&ticket) else { continue };
             match pending.purpose {
-                Purpose::Node | Purpose::Seat => self.send_pending(ticket),
-                Purpose::Submit(_) | Purpose::Pieces(_) | Purpose::Cancel(_) => self.send_pending(ticket),
+                Purpose::Node | Purpose::Role => self.send_pending(ticket),
+                Purpose::Submit(_) | Purpose::AwaitedParts(_) | Purpose::Cancel(_) => self.send_pending(ticket),
                 _ => pending.stage = Stage::Queued(now),
             }
         }
@@ -298,7 +298,7 @@
         }
     }
 
-    /// Own commits are known before the watch brings them. Seats wait for the watch: holding
+    /// Own commits are known before the watch brings them. Roles wait for the watch: holding
     /// one must imply having seen everything before it.
     fn apply_own(&mut self, txn: &Txn, revision: u64) {
         let mut changes = Vec::new();
@@ -307,7 +307,7 @@
                 Write::Put { key, value, .. } => (key, Some(value)),
                 Write::Delete { key } => (key, None),
             };
-            if !matches!(Key::parse(key), Some(Key::Seat(_) | Key::Term) | None) {
+            if !matches!(Key::parse(key), Some(Key::Role(_) | Key::Term) | None) {
                 changes.push(self.replica.apply(key, value, revision));
             }
         }
@@ -318,11 +318,11 @@
     fn txn_over(&mut self, purpose: &Purpose, committed: bool) {
         match purpose {
             Purpose::Submit(ids) => ids.iter().for_each(|id| self.submit_over(id, committed)),
-            Purpose::Pieces(name) => self.pieces_over(name, committed),
+            Purpose::AwaitedParts(name) => self.awaited_parts_over(name, committed),
             Purpose::Cancel(id) => self.cancel_over(id, committed),
-            Purpose::Node | Purpose::Seat => self.seat_txn_over(purpose, !committed),
+            Purpose::Node | Purpose::Role => self.role_txn_over(purpose, !committed),
             Purpose::Machines(_, ids) => self.machines_txn_over(ids),
-            Purpose::Tidy | Purpose::Sweep => {}
+            Purpose::Tidy | Purpose::Cascade => {}
             Purpose::Jobs(ids) => {
                 for id in ids {
                     self.job_txn_over(id);
--- a/src/coordination/lives.rs
+++ b/src/coordination/usage.rs
@@ -1,24 +1,24 @@
-//! Starts not proven gone and out of the books, with the sums kept over them: what each machine
+//! Starts not proven gone and out of the stored records, with the sums kept over them: what each machine
 //! has and gives, what each team uses. A start's phase changes only here, so that no sum is missed.
 
 use crate::protocol::user::{JobSpec, Kind};
-use crate::protocol::worker::Why;
+use crate::protocol::worker::ExitCause;
 use crate::units::{JobId, MachineId, Micros, Room};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// Decided, not yet in the books; no command may leave.
-    Proposed,
-    /// In the books; not yet seen on the machine.
+    /// Decided, not yet in the stored records; no command may leave.
+    Decided,
+    /// In the stored records; not yet seen on the machine.
     Recorded,
     Fetching,
     Waiting,
     Running,
     Saving,
-    /// Seen ended on the machine; to be taken out of the books.
-    Ended(Why),
-    /// Proven not to be on the machine; to be taken out of the books.
+    /// Seen ended on the machine; to be taken out of the stored records.
+    Ended(ExitCause),
+    /// Proven not to be on the machine; to be taken out of the stored records.
     Gone,
 }
 
@@ -33,9 +33,9 @@
     }
 }
 
-/// One start of a task, as far as it isn't proven gone and out of the books.
+/// One start of a task, as far as it isn't proven gone and out of the stored records.
 #[derive(Clone, Debug)]
-pub struct Live {
+pub struct Start {
     pub attempt: u64,
     machine: MachineId,
     pub session: u64,
@@ -49,9 +49,9 @@
     pub running_since: Option<Micros>,
 }
 
-impl Live {
-    pub fn new(attempt: u64, machine: MachineId, session: u64, phase: Phase) -> Live {
-        Live { attempt, machine, session, phase, stop: None, sent: false, seq: 0, running_since: None }
+impl Start {
+    pub fn new(attempt: u64, machine: MachineId, session: u64, phase: Phase) -> Start {
+        Start { attempt, machine, session, phase, stop: None, sent: false, seq: 0, running_since: None }
     }
 
     pub fn phase(&self) -> Phase {
@@ -67,7 +67,7 @@
     }
 }
 
-/// What is on one machine by the books and by what was decided since.
+/// What is on one machine by the stored records and by what was decided since.
 #[derive(Debug, Default, PartialEq)]
 pub struct Placed {
     pub starts: BTreeSet<(JobId, u32)>,
@@ -80,7 +80,7 @@
 
 /// Sums over the starts of all jobs.
 #[derive(Debug, Default)]
-pub struct Sums {
+pub struct Usage {
     machines: HashMap<MachineId, Placed>,
     teams: HashMap<String, Room>,
     /// Jobs whose starts changed since the recorder last looked at them.
@@ -89,7 +89,7 @@
     pub freed: BTreeSet<MachineId>,
 }
 
-impl Sums {
+impl Usage {
     pub fn placed(&self, machine: &MachineId) -> Option<&Placed> {
         self.machines.get(machine)
     }
@@ -121,69 +121,69 @@
         self.teams.get(team).copied().unwrap_or_default()
     }
 
-    fn occupy(&mut self, lives: &Lives, machine: &MachineId, more: bool) {
+    fn occupy(&mut self, starts: &JobStarts, machine: &MachineId, more: bool) {
         let placed = self.machines.entry(machine.clone()).or_default();
         if more {
-            placed.room = placed.room.plus(&lives.room);
+            placed.room = placed.room.plus(&starts.room);
             placed.occupying += 1;
-            placed.services += u32::from(lives.service);
+            placed.services += u32::from(starts.service);
         } else {
-            placed.room = placed.room.minus(&lives.room);
+            placed.room = placed.room.minus(&starts.room);
             placed.occupying -= 1;
-            placed.services -= u32::from(lives.service);
+            placed.services -= u32::from(starts.service);
             self.freed.insert(machine.clone());
         }
-        if let Some(team) = &lives.team {
+        if let Some(team) = &starts.team {
             let used = match self.teams.get_mut(team) {
                 Some(used) => used,
                 None => self.teams.entry(team.clone()).or_default(),
             };
-            *used = if more { used.plus(&lives.room) } else { used.minus(&lives.room) };
+            *used = if more { used.plus(&starts.room) } else { used.minus(&starts.room) };
         }
     }
 }
 
 /// The starts of one job.
 #[derive(Debug)]
-pub struct Lives {
+pub struct JobStarts {
     job: JobId,
     room: Room,
     team: Option<String>,
     service: bool,
-    map: BTreeMap<u32, Live>,
+    map: BTreeMap<u32, Start>,
     occupying: u32,
-    proposed: u32,
+    decided: u32,
 }
 
-impl Lives {
-    pub fn new(job: JobId, spec: &JobSpec) -> Lives {
+impl JobStarts {
+    pub fn new(job: JobId, spec: &JobSpec) -> JobStarts {
         let team = spec.team.clone();
         let service = spec.kind == Kind::Service;
-        Lives { job, room: spec.room(), team, service, map: BTreeMap::new(), occupying: 0, proposed: 0 }
+        JobStarts { job, room: spec.room(), team, service, map: BTreeMap::new(), occupying: 0, decided: 0 }
     }
 
-    pub fn get(&self, task: u32) -> Option<&Live> {
+    pub fn get(&self, task: u32) -> Option<&Start> {
         self.map.get(&task)
     }
 
-    pub fn get_mut(&mut self, task: u32) -> Option<&mut Live> {
+    pub fn get_mut(&mut self, task: u32) -> Option<&mut Start> {
         self.map.get_mut(&task)
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (u32, &Live)> {
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &Start)> {
         self.map.iter().map(|(task, live)| (*task, live))
     }
 
     /// Those of some tasks only.
-    pub fn range(&self, tasks: std::ops::Range<u32>) -> impl Iterator<Item = (u32, &Live)> {
+    pub fn range(&self, tasks: std::ops::Range<u32>) -> impl Iterator<Item = (u32, &Start)> {
         self.map.range(tasks).map(|(task, live)| (*task, live))
     }
 
-    pub fn values(&self) -> impl Iterator<Item = &Live> {
+    pub fn values(&self) -> impl Iterator<Item = &Start> {
         self.map.values()
     }
 
-    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Live> {
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Start> {
         self.map.values_mut()
     }
 
@@ -196,63 +196,63 @@
         self.occupying
     }
 
-    /// Starts decided and not yet in the books.
-    pub fn proposed(&self) -> u32 {
-        self.proposed
+    /// Starts decided and not yet in the stored records.
+    pub fn decided(&self) -> u32 {
+        self.decided
     }
 
-    /// Starts that only wait to be taken out of the books.
+    /// Starts that only wait to be taken out of the stored records.
     pub fn settled(&self) -> u32 {
         self.map.len() as u32 - self.occupying
     }
 
-    pub fn insert(&mut self, task: u32, live: Live, sums: &mut Sums) {
-        self.remove(task, sums);
-        sums.touched.insert(self.job.clone());
-        sums.machines.entry(live.machine.clone()).or_default().starts.insert((self.job.clone(), task));
+    pub fn insert(&mut self, task: u32, live: Start, usage: &mut Usage) {
+        self.remove(task, usage);
+        usage.touched.insert(self.job.clone());
+        usage.machines.entry(live.machine.clone()).or_default().starts.insert((self.job.clone(), task));
         if live.phase.occupies() {
             self.occupying += 1;
-            sums.occupy(self, &live.machine, true);
+            usage.occupy(self, &live.machine, true);
         }
-        self.proposed += u32::from(live.phase == Phase::Proposed);
+        self.decided += u32::from(live.phase == Phase::Decided);
         self.map.insert(task, live);
     }
 
-    pub fn remove(&mut self, task: u32, sums: &mut Sums) -> Option<Live> {
+    pub fn remove(&mut self, task: u32, usage: &mut Usage) -> Option<Start> {
         let live = self.map.remove(&task)?;
-        sums.touched.insert(self.job.clone());
+        usage.touched.insert(self.job.clone());
         if live.phase.occupies() {
             self.occupying -= 1;
-            sums.occupy(self, &live.machine, false);
+            usage.occupy(self, &live.machine, false);
         }
-        self.proposed -= u32::from(live.phase == Phase::Proposed);
-        if let Some(placed) = sums.machines.get_mut(&live.machine) {
+        self.decided -= u32::from(live.phase == Phase::Decided);
+        if let Some(placed) = usage.machines.get_mut(&live.machine) {
             placed.starts.remove(&(self.job.clone(), task));
             if placed.starts.is_empty() {
-                sums.machines.remove(&live.machine);
+                usage.machines.remove(&live.machine);
             }
         }
         Some(live)
     }
 
-    pub fn set_phase(&mut self, task: u32, phase: Phase, sums: &mut Sums) {
+    pub fn set_phase(&mut self, task: u32, phase: Phase, usage: &mut Usage) {
         let Some(live) = self.map.get_mut(&task) else { return };
         let before = std::mem::replace(&mut live.phase, phase);
         if before == phase {
             return;
         }
         let machine = live.machine.clone();
-        self.proposed += u32::from(phase == Phase::Proposed);
-        self.proposed -= u32::from(before == Phase::Proposed);
+        self.decided += u32::from(phase == Phase::Decided);
+        self.decided -= u32::from(before == Phase::Decided);
         match (before.occupies(), phase.occupies()) {
             (true, false) => {
                 self.occupying -= 1;
-                sums.touched.insert(self.job.clone());
-                sums.occupy(self, &machine, false);
+                usage.touched.insert(self.job.clone());
+                usage.occupy(self, &machine, false);
             }
             (false, true) => {
                 self.occupying += 1;
-                sums.occupy(self, &machine, true);
+                usage.occupy(self, &machine, true);
             }
             _ => {}
         }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -71,7 +71,7 @@
     /// Tells a user how a job stands; that it is cancelled only once that is known where it counts.
     fn tell(&mut self, waiter: Waiter, status: JobStatus) {
         match status.state {
-            JobState::Cancelled => self.tell_cancelled(waiter, status.id),
+            JobState::Cancelled => self.answer_cancelled(waiter, status.id),
             _ => self.answer(waiter, UserAnswer::Status(status)),
         }
     }
@@ -129,7 +129,7 @@
             return self.tell(waiter, status);
         }
         let spec = submission.spec;
-        let fine = spec.as_ref().is_some_and(|s| self.refusal(s).is_none() && self.knows_awaited(s));
+        let fine = spec.as_ref().is_some_and(|s| self.refusal(s).is_none() && self.awaited_exist(s));
         if self.replica.jobs.contains_key(&id) || !fine {
             // Known, or to be refused unless it is known after all.
             self.users.next.push((waiter, Question::Submit(id, spec.map(Box::new))));
@@ -158,7 +158,7 @@
                 }
                 return;
             }
-            self.write_pieces(member);
+            self.write_awaited_parts(member);
         } else {
             self.users.queue.push_back((latest, member));
         }
@@ -166,7 +166,7 @@
 
     /// A list too long for one value goes to keys of its own first, under a name that nobody else uses; the job's
     /// entry then says where it is.
-    fn write_pieces(&mut self, mut member: BatchMember) {
+    fn write_awaited_parts(&mut self, mut member: BatchMember) {
         let limits = &self.platform.deployment.state;
         let (ops, bytes) = (limits.ops(), limits.value_bytes());
         let name = format!("{:x}", self.nonce());
@@ -189,14 +189,14 @@
         for part in parts {
             let mut draft = Draft::default();
             for (number, list) in part {
-                draft.unchanged(&self.replica, Key::Piece(name.clone(), *number));
-                draft.put(Key::Piece(name.clone(), *number), to_value(list));
+                draft.unchanged(&self.replica, Key::AwaitedPart(name.clone(), *number));
+                draft.put(Key::AwaitedPart(name.clone(), *number), to_value(list));
             }
-            self.submit_txn(draft, Purpose::Pieces(name.clone()));
+            self.submit_txn(draft, Purpose::AwaitedParts(name.clone()));
         }
     }
 
-    pub(super) fn pieces_over(&mut self, name: &str, committed: bool) {
+    pub(super) fn awaited_parts_over(&mut self, name: &str, committed: bool) {
         let Some((left, _)) = self.users.large.get_mut(name) else { return };
         *left -= 1;
         if committed && *left > 0 {
@@ -213,7 +213,7 @@
         }
     }
 
-    /// Takes into the books, as one batch, what waits to be accepted.
+    /// Takes into the stored records, as one batch, what waits to be accepted.
     pub(super) fn send_submissions(&mut self) {
         let limits = &self.platform.deployment.state;
         let room = (limits.least_value_kb() * 1024.0 * VALUE_FILL) as usize;
@@ -242,7 +242,7 @@
         for member in &members {
             txn.unchanged(&self.replica, Key::End(member.id.clone()));
             if let Some((name, _)) = &member.record.pieces {
-                txn.unchanged(&self.replica, Key::Piece(name.clone(), 0));
+                txn.unchanged(&self.replica, Key::AwaitedPart(name.clone(), 0));
             }
         }
         txn.put(name, to_value(&members));
@@ -335,8 +335,8 @@
                         (None, None) => UserAnswer::Malformed,
                         (None, Some(spec)) => match self.refusal(&spec) {
                             Some(answer) => answer,
-                            // The read was fresh: whoever accepted it would have it in the books.
-                            None if !self.knows_awaited(&spec) => {
+                            // The read was fresh: whoever accepted it would have it in the stored records.
+                            None if !self.awaited_exist(&spec) => {
                                 UserAnswer::CanNeverRun("awaits a job that was never accepted")
                             }
                             None => {
--- a/src/coordination/versions.rs
+++ b/src/coordination/versions.rs
@@ -5,7 +5,7 @@
 //! condition of the same transaction: then an older controller that takes the role in between makes it fail.
 
 use crate::bookkeeping::Replica;
-use crate::bookkeeping::schema::{RecordVersion, Seat};
+use crate::bookkeeping::schema::{RecordVersion, Role};
 
 /// From this version on a leader only asks for a machine to be moved; the holder of the machine's share, the one
 /// controller that records starts there, moves it once nothing is left on it. Before, the leader moved it by
@@ -24,17 +24,17 @@
 /// Whether whoever leads leaves it to the holders of shares to move machines. True while nobody leads: no machine is
 /// moved then by anybody else.
 pub fn leader_leaves_moves(replica: &Replica, own: RecordVersion) -> bool {
-    let leader = replica.seats.get(&Seat::Leader).map(|held| held.value.version);
+    let leader = replica.roles.get(&Role::Leader).map(|held| held.value.version);
     own >= HOLDER_MOVES && leader.is_none_or(|version| version >= HOLDER_MOVES)
 }
 
 /// Who moves machines out of a share, as far as the replica shows.
 pub fn mover(replica: &Replica, share: u32) -> Mover {
-    let version = |seat| replica.seats.get(&seat).map(|held| held.value.version);
-    if version(Seat::Leader).is_some_and(|leader| leader < HOLDER_MOVES) {
+    let version = |role| replica.roles.get(&role).map(|held| held.value.version);
+    if version(Role::Leader).is_some_and(|leader| leader < HOLDER_MOVES) {
         return Mover::Leader;
     }
-    match version(Seat::Share(share)) {
+    match version(Role::Share(share)) {
         Some(holder) if holder >= HOLDER_MOVES => Mover::Holder,
         Some(_) => Mover::Leader,
         None => Mover::Nobody,
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -34,7 +34,7 @@
 /// The answer to that: whether it holds the share under that term or a later one, and so sees to it that
 /// all tasks of the jobs end.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Knows {
+pub struct CancellationAck {
     pub holds: bool,
 }
 
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -19,7 +19,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Why {
+pub enum ExitCause {
     #[serde(rename = "done")]
     Done,
     #[serde(rename = "halted")]
@@ -47,7 +47,7 @@
     #[serde(rename = "status")]
     pub state: TaskState,
     #[serde(rename = "cause", default, skip_serializing_if = "Option::is_none")]
-    pub why: Option<Why>,
+    pub why: Option<ExitCause>,
     #[serde(rename = "stored", default, skip_serializing_if = "Option::is_none")]
     pub saved: Option<bool>,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -271,12 +271,12 @@
 }
 
 macro_rules! policy {
-    ($($(#[doc = $doc:literal])+ $name:ident: $ty:ty = $default:expr, $min:expr, $max:expr;)+) => {
+    ($($(#[doc = $doc:literal])+ $(#[serde($serde:meta)])? $name:ident: $ty:ty = $default:expr, $min:expr, $max:expr;)+) => {
         /// The operators' own settings. Every value has a default.
         #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
         #[serde(deny_unknown_fields, default)]
         pub struct Policy {
-            $($(#[doc = $doc])+ pub $name: $ty,)+
+            $($(#[doc = $doc])+ $(#[serde($serde)])? pub $name: $ty,)+
         }
 
         impl Default for Policy {
@@ -310,7 +310,7 @@
     session_ms: u64 = 3000, 500, 60000;
     /// A free share that belongs to another controller by order is left alone for this long, times its distance.
     takeover_step_ms: u64 = 400, 0, 60000;
-    /// For so long after it has read the books a controller takes only what it stands first for.
+    /// For so long after it has read the stored records a controller takes only what it stands first for.
     settle_ms: u64 = 1500, 0, 60000;
     /// A controller holding more than its part hands a share to a sibling that has been back for this long.
     hand_back_after_ms: u64 = 8000, 0, 600000;
@@ -389,10 +389,12 @@
     /// A controller that has not heard from most of its machines for this long gives its shares to a sibling.
     lose_contact_ms: u64 = 6000, 1000, 600000;
     /// Direct messages to a machine that must go unanswered in a row, though its reports arrive, before it is
-    /// taken not to hear anything.
-    mute_probes: u32 = 5, 2, 1000;
-    /// For so long they must have gone unanswered before it is replaced.
-    mute_after_ms: u64 = 8000, 1000, 600000;
+    /// taken to be unreachable. Formerly `mute_probes`.
+    #[serde(alias = "mute_probes")]
+    unreachable_probes: u32 = 5, 2, 1000;
+    /// For so long they must have gone unanswered before it is replaced. Formerly `mute_after_ms`.
+    #[serde(alias = "mute_after_ms")]
+    unreachable_after_ms: u64 = 8000, 1000, 600000;
     /// A machine that answers but whose next report is late by this long is taken not to get its reports through.
     unreported_ms: u64 = 8000, 1000, 600000;
     /// Without an answer of the state service for this long users are refused at once.
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -4,7 +4,7 @@
 use super::client::Client;
 use super::server::{Bounces, Gate, PeerAsk, Standing, UserAsk, WorkerAsk, look_at_siblings, serve, tell_sibling};
 use crate::coordination::{Clock, Command, Core, Effect, UserAnswer, Waiter, WorkerAnswer};
-use crate::protocol::peer::Knows;
+use crate::protocol::peer::CancellationAck;
 use crate::settings::{Platform, Policy};
 use crate::units::Micros;
 use std::collections::HashMap;
@@ -32,7 +32,7 @@
     next: Waiter,
     users: HashMap<Waiter, oneshot::Sender<UserAnswer>>,
     workers: HashMap<Waiter, oneshot::Sender<WorkerAnswer>>,
-    peers: HashMap<Waiter, oneshot::Sender<Knows>>,
+    peers: HashMap<Waiter, oneshot::Sender<CancellationAck>>,
 }
 
 /// Runs a controller until the process ends.
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -2,7 +2,7 @@
 
 use super::client::Client;
 use crate::coordination::{UserAnswer, UserRequest, WorkerAnswer};
-use crate::protocol::peer::{CANCELLED_PATH, Cancelled, Knows, Relay, Relayed};
+use crate::protocol::peer::{CANCELLED_PATH, CancellationAck, Cancelled, Relay, Relayed};
 use crate::protocol::user::{self, JobState, JobStatus, Refusal};
 use crate::protocol::worker::{Orders, Redirect, Report};
 use crate::protocol::{BODY_LIMIT, decode, encode};
@@ -41,7 +41,7 @@
 /// What a sibling tells, with the way back.
 pub struct PeerAsk {
     pub message: Cancelled,
-    pub back: oneshot::Sender<Knows>,
+    pub back: oneshot::Sender<CancellationAck>,
 }
 
 /// Users give up after 5 s and workers after 4 s.
@@ -88,7 +88,7 @@
 /// How this controller stands, for itself, its siblings and the load balancer.
 #[derive(Default)]
 pub struct Standing {
-    /// It has read the books.
+    /// It has read the stored records.
     pub ready: AtomicBool,
     pub reaches_state: AtomicBool,
     /// Only this controller can't reach the state service, so users had better go elsewhere.
@@ -411,7 +411,7 @@
 }
 
 /// Tells a sibling of cancelled jobs. Without an answer nothing is known.
-pub async fn tell_sibling(gate: &Gate, label: &str, message: &Cancelled) -> Option<Knows> {
+pub async fn tell_sibling(gate: &Gate, label: &str, message: &Cancelled) -> Option<CancellationAck> {
     let (_, addr) = gate.siblings.iter().find(|(sibling, _)| sibling == label)?;
     let body = bitcode::encode(message);
     let answer = gate.client.call(*addr, Method::POST, CANCELLED_PATH, body, TELL_LIMIT).await.ok()?;
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -3,12 +3,12 @@
 use burlhatch::bookkeeping::Replica;
 use burlhatch::bookkeeping::schema::{Key, Outcome, RunChunk, StartRecord, to_value};
 use burlhatch::coordination::budget::Budget;
-use burlhatch::coordination::lives::{Live, Lives, Phase, Sums};
 use burlhatch::coordination::pipelines::{Pipelines, Urgency};
 use burlhatch::coordination::placement::{Candidate, choose};
+use burlhatch::coordination::usage::{JobStarts, Phase, Start, Usage};
 use burlhatch::protocol::state::Event;
 use burlhatch::protocol::user::{JobSpec, Kind, Priority};
-use burlhatch::protocol::worker::Why;
+use burlhatch::protocol::worker::ExitCause;
 use burlhatch::transport::limits::{Bucket, Class};
 use burlhatch::units::{JobId, MachineId, Micros, Revision, Room};
 use proptest::prelude::*;
@@ -61,7 +61,7 @@
 }
 
 fn chunk(writer: u64) -> RunChunk {
-    let starts = vec![StartRecord(1, 2, MachineId::new("m-1"), 3)];
+    let starts = vec![StartRecord { task: 1, attempt: 2, machine: MachineId::new("m-1"), session: 3 }];
     RunChunk { attempts: 2, done: vec![(4, 5)], starts, writer }
 }
 
@@ -188,13 +188,13 @@
 
 fn phase(p: u8) -> Phase {
     let all = [
-        Phase::Proposed,
+        Phase::Decided,
         Phase::Recorded,
         Phase::Fetching,
         Phase::Waiting,
         Phase::Running,
         Phase::Saving,
-        Phase::Ended(Why::Done),
+        Phase::Ended(ExitCause::Done),
         Phase::Gone,
     ];
     all[usize::from(p)]
@@ -221,50 +221,50 @@
         let machines: Vec<MachineId> = (0..3).map(|m| MachineId::new(&format!("m-{m}"))).collect();
         let specs: Vec<JobSpec> = (0..4).map(spec).collect();
         let names: Vec<JobId> = (0..4).map(|j| JobId::new(&format!("wk-{j}"))).collect();
-        let mut sums = Sums::default();
-        let mut real: Vec<Lives> = (0..4).map(|j| Lives::new(names[j].clone(), &specs[j])).collect();
+        let mut usage = Usage::default();
+        let mut real: Vec<JobStarts> = (0..4).map(|j| JobStarts::new(names[j].clone(), &specs[j])).collect();
         let mut plain: BTreeMap<(usize, u32), (usize, Phase)> = BTreeMap::new();
         for step in steps {
             match step {
                 Step::Insert(j, t, m, p) => {
                     let (j, m) = (usize::from(j), usize::from(m));
-                    real[j].insert(t, Live::new(1, machines[m].clone(), 1, phase(p)), &mut sums);
+                    real[j].insert(t, Start::new(1, machines[m].clone(), 1, phase(p)), &mut usage);
                     plain.insert((j, t), (m, phase(p)));
                 }
                 Step::Remove(j, t) => {
-                    real[usize::from(j)].remove(t, &mut sums);
+                    real[usize::from(j)].remove(t, &mut usage);
                     plain.remove(&(usize::from(j), t));
                 }
                 Step::Phase(j, t, p) => {
-                    real[usize::from(j)].set_phase(t, phase(p), &mut sums);
+                    real[usize::from(j)].set_phase(t, phase(p), &mut usage);
                     if let Some(at) = plain.get_mut(&(usize::from(j), t)) {
                         at.1 = phase(p);
                     }
                 }
             }
-            for (j, lives) in real.iter().enumerate() {
+            for (j, usage) in real.iter().enumerate() {
                 let own = || plain.iter().filter(|((job, _), _)| *job == j).map(|(_, at)| at.1);
-                prop_assert_eq!(lives.occupying() as usize, own().filter(|p| p.occupies()).count());
-                prop_assert_eq!(lives.settled() as usize, own().filter(|p| !p.occupies()).count());
-                prop_assert_eq!(lives.proposed() as usize, own().filter(|p| *p == Phase::Proposed).count());
+                prop_assert_eq!(usage.occupying() as usize, own().filter(|p| p.occupies()).count());
+                prop_assert_eq!(usage.settled() as usize, own().filter(|p| !p.occupies()).count());
+                prop_assert_eq!(usage.decided() as usize, own().filter(|p| *p == Phase::Decided).count());
             }
             for (m, machine) in machines.iter().enumerate() {
                 let there = || plain.iter().filter(|(_, at)| at.0 == m);
                 let room = there().filter(|(_, at)| at.1.occupies()).fold(Room::default(), |sum, ((j, _), _)| {
                     sum.plus(&specs[*j].room())
                 });
-                prop_assert_eq!(sums.used_on(machine), room);
-                prop_assert_eq!(sums.is_empty(machine), there().count() == 0);
-                prop_assert_eq!(sums.is_busy(machine), there().any(|(_, at)| at.1.occupies()));
+                prop_assert_eq!(usage.used_on(machine), room);
+                prop_assert_eq!(usage.is_empty(machine), there().count() == 0);
+                prop_assert_eq!(usage.is_busy(machine), there().any(|(_, at)| at.1.occupies()));
                 let serves = there().any(|((j, _), at)| at.1.occupies() && specs[*j].kind == Kind::Service);
-                prop_assert_eq!(sums.serves(machine), serves);
+                prop_assert_eq!(usage.serves(machine), serves);
                 let starts: Vec<(JobId, u32)> = there().map(|((j, t), _)| (names[*j].clone(), *t)).collect();
-                prop_assert_eq!(sums.starts_on(machine), starts);
+                prop_assert_eq!(usage.starts_on(machine), starts);
             }
             for team in 0..2 {
                 let of_team = plain.iter().filter(|((j, _), at)| j % 2 == team && at.1.occupies());
                 let room = of_team.fold(Room::default(), |sum, ((j, _), _)| sum.plus(&specs[*j].room()));
-                prop_assert_eq!(sums.used_by(&format!("team-{team}")), room);
+                prop_assert_eq!(usage.used_by(&format!("team-{team}")), room);
             }
         }
     }
@@ -303,11 +303,11 @@
 
 #[test]
 fn keys_read_back_as_they_were_written() {
-    use burlhatch::bookkeeping::Seat;
+    use burlhatch::bookkeeping::Role;
     let keys = [
         Key::Term,
-        Key::Seat(Seat::Leader),
-        Key::Seat(Seat::Share(2)),
+        Key::Role(Role::Leader),
+        Key::Role(Role::Share(2)),
         Key::Node("node-a".into()),
         Key::Fleet("5f".into()),
         Key::Machine(MachineId::new("m-000001")),
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -4,10 +4,10 @@
 
 use burlhatch::bookkeeping::Replica;
 use burlhatch::bookkeeping::schema::{
-    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Outcome, RecordVersion,
-    RunChunk, Seat, SeatRecord, StartRecord, from_value, to_value,
+    BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Outcome, RecordVersion, Role,
+    RoleRecord, RunChunk, StartRecord, from_value, to_value,
 };
-use burlhatch::protocol::peer::{Cancelled, CancelledJob, Knows, Relay, Relayed};
+use burlhatch::protocol::peer::{CancellationAck, Cancelled, CancelledJob, Relay, Relayed};
 use burlhatch::protocol::user::{JobSpec, Kind, Priority};
 use burlhatch::protocol::{decode, encode};
 use burlhatch::units::{JobId, MachineId, Micros, Term};
@@ -51,7 +51,7 @@
     6f6e655f7a6f6e65f466737072656164f5696472696674776f6f64f5686578706563745f73f95b806c73746f775f65766572795f73f94f\
     806673746f775f73f94400656475655f73f96308";
 const AWAITED_LIST: &str = "8269776b2d30303033393869776b2d303030343035";
-/// What every controller's seat and entry hold since versions are announced.
+/// What every controller's role and entry hold since versions are announced.
 const ANNOUNCED_SEAT: &str = "a4616f6b68617463686c696e672d306169184d61741829617601";
 const ANNOUNCED_NODE: &str = "a36169184d6175f4617601";
 
@@ -112,13 +112,13 @@
 #[test]
 fn records_are_the_same_in_both_versions() {
     both_ways(TERM, Term(41));
-    both_ways(SEAT, SeatRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41), version: FIRST });
+    both_ways(SEAT, RoleRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41), version: FIRST });
     both_ways(NODE, NodeRecord { incarnation: 77, unfit: true, version: FIRST });
     both_ways(MACHINE, machine(Some(Hold::Move(1))));
     let fleet_member = |id, hold| FleetMember { id: MachineId::new(id), record: machine(hold) };
     both_ways(FLEET, vec![fleet_member("m-000231", None), fleet_member("m-000232", Some(Hold::Doomed))]);
     both_ways(BATCH, vec![member(spec())]);
-    let starts = vec![StartRecord(4, 9, MachineId::new("m-000231"), 2)];
+    let starts = vec![StartRecord { task: 4, attempt: 9, machine: MachineId::new("m-000231"), session: 2 }];
     both_ways(RUN, RunChunk { attempts: 9, done: vec![(0, 3), (7, 7)], starts, writer: 5 });
     both_ways(DONE, EndRecord::done());
     both_ways(CANCELLED, EndRecord::cancelled(AT));
@@ -140,23 +140,23 @@
     both_ways(AWAITED_LIST, awaited());
 }
 
-/// Versions before read seats and entries that announce one, and ignore it; a record without one is of the first.
+/// Versions before read roles and entries that announce one, and ignore it; a record without one is of the first.
 #[test]
 fn versions_are_announced_in_fields_that_earlier_controllers_ignore() {
     #[derive(Deserialize)]
-    struct EarlierSeat {
+    struct EarlierRole {
         o: String,
         i: u64,
         t: Term,
     }
     let version = RecordVersion(1);
-    both_ways(ANNOUNCED_SEAT, SeatRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41), version });
+    both_ways(ANNOUNCED_SEAT, RoleRecord { owner: "hatchling-0".into(), incarnation: 77, term: Term(41), version });
     both_ways(ANNOUNCED_NODE, NodeRecord { incarnation: 77, unfit: false, version });
     let stored: Value = decode(&bytes(ANNOUNCED_SEAT)).expect("CBOR");
-    let earlier: EarlierSeat = from_value(&stored).expect("readable");
+    let earlier: EarlierRole = from_value(&stored).expect("readable");
     assert_eq!((earlier.o.as_str(), earlier.i, earlier.t), ("hatchling-0", 77, Term(41)));
-    let seat: SeatRecord = from_value(&decode(&bytes(SEAT)).expect("CBOR")).expect("readable");
-    assert_eq!(seat.version, FIRST);
+    let role: RoleRecord = from_value(&decode(&bytes(SEAT)).expect("CBOR")).expect("readable");
+    assert_eq!(role.version, FIRST);
 }
 
 /// A job whose list of awaited jobs is in keys of its own is whole once these were read.
@@ -164,8 +164,8 @@
 fn a_split_list_of_awaited_jobs_is_read_back() {
     let mut replica = Replica::default();
     let keys = [
-        (Key::Piece("4d2".into(), 0), AWAITED_LIST),
-        (Key::Piece("4d2".into(), 1), "8169776b2d303030343036"),
+        (Key::AwaitedPart("4d2".into(), 0), AWAITED_LIST),
+        (Key::AwaitedPart("4d2".into(), 1), "8169776b2d303030343036"),
         (Key::Batch("b1".into()), SPLIT_BATCH),
     ];
     for (n, (key, hex)) in keys.into_iter().enumerate() {
@@ -183,8 +183,8 @@
     let told = Cancelled { share: 2, term: 41, jobs };
     assert_eq!(bitcode::decode::<Cancelled>(&bytes(TOLD)).expect("told"), told);
     assert_eq!(bitcode::encode(&told), bytes(TOLD));
-    assert_eq!(bitcode::decode::<Knows>(&bytes(KNOWS)).expect("knows"), Knows { holds: true });
-    assert_eq!(bitcode::encode(&Knows { holds: true }), bytes(KNOWS));
+    assert_eq!(bitcode::decode::<CancellationAck>(&bytes(KNOWS)).expect("knows"), CancellationAck { holds: true });
+    assert_eq!(bitcode::encode(&CancellationAck { holds: true }), bytes(KNOWS));
     let relay = Relay { path: "/api/jobs".into(), post: true, body: vec![1, 2, 3] };
     assert_eq!(bitcode::decode::<Relay>(&bytes(RELAY)).expect("relay"), relay);
     assert_eq!(bitcode::encode(&relay), bytes(RELAY));
@@ -215,14 +215,14 @@
     assert_eq!(read[0].record.spec.awaits, awaits);
 }
 
-/// The books of production as a whole, read here.
+/// The stored records of production as a whole, read here.
 #[test]
 fn a_replica_takes_the_books_of_production() {
     let mut replica = Replica::default();
     let id = JobId::new("wk-000412");
     let keys = [
         (Key::Term, TERM),
-        (Key::Seat(Seat::Share(2)), SEAT),
+        (Key::Role(Role::Share(2)), SEAT),
         (Key::Node("hatchling-0".into()), NODE),
         (Key::Fleet("f1".into()), FLEET),
         (Key::Machine(MachineId::new("m-000231")), MACHINE),
@@ -236,7 +236,7 @@
         replica.apply(&key.to_string(), Some(&value), n as u64 + 1);
     }
     assert_eq!(replica.term_now(), Term(41));
-    assert_eq!(replica.seats[&Seat::Share(2)].value.owner, "hatchling-0");
+    assert_eq!(replica.roles[&Role::Share(2)].value.owner, "hatchling-0");
     assert_eq!(replica.machines[&MachineId::new("m-000231")].value.hold, Some(Hold::Move(1)));
     assert_eq!(replica.machines[&MachineId::new("m-000232")].value.hold, Some(Hold::Doomed));
     assert_eq!(replica.jobs[&id].record.spec, spec());
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -4,7 +4,7 @@
 use burlhatch::protocol::peer::{Relay, Relayed};
 use burlhatch::protocol::state::{Changes, Condition, Event, Page, Txn, Write};
 use burlhatch::protocol::user::{JobState, JobStatus, Kind, Priority, submission};
-use burlhatch::protocol::worker::{DirectOrders, Order, Orders, Report, TaskState, Why};
+use burlhatch::protocol::worker::{DirectOrders, ExitCause, Order, Orders, Report, TaskState};
 use burlhatch::protocol::{decode, encode};
 use burlhatch::units::{JobId, Term};
 use ciborium::Value;
@@ -125,8 +125,8 @@
     .expect("valid");
     assert_eq!((report.session, report.seq, report.token), (1, 88, Term(41)));
     assert_eq!(report.tasks[0].state, TaskState::Running);
-    assert_eq!(report.tasks[1].why, Some(Why::Done));
-    assert_eq!(report.tasks[2].why, Some(Why::Unknown));
+    assert_eq!(report.tasks[1].why, Some(ExitCause::Done));
+    assert_eq!(report.tasks[2].why, Some(ExitCause::Unknown));
     let bare: Report =
         decode(&cbor(json!({"host":"m-1","hull":"g8","berth":"a","watch":1,"tally":1,"helm":0}))).expect("valid");
     assert!(bare.tasks.is_empty() && bare.notice_s.is_none() && !bare.spot);
--- a/tests/rules/cancellations.rs
+++ b/tests/rules/cancellations.rs
@@ -54,7 +54,7 @@
     Hang,
     /// Nothing reaches some machines.
     Deaf,
-    /// The refusal lasts until its seat has gone to a sibling, and the outage follows that at once.
+    /// The refusal lasts until its role has gone to a sibling, and the outage follows that at once.
     HandsOver,
 }
 
@@ -94,7 +94,7 @@
         }
         if more == More::Deaf {
             for nth in 0..2 {
-                world.deafen(nth, (CANCEL_S + 15) * S);
+                world.make_unreachable(nth, (CANCEL_S + 15) * S);
             }
         }
         if matches!(more, More::PeersHeld | More::PeersLost) {
@@ -120,7 +120,7 @@
 }
 
 /// While the owner's siblings can't reach it, though the state service can be reached by all, users are not kept
-/// waiting for its word: what is left of a job in the books tells the same.
+/// waiting for its word: what is left of a job in the stored records tells the same.
 #[test]
 fn without_words_between_controllers_the_books_tell() {
     for seed in seeds(21, 3) {
@@ -157,9 +157,9 @@
     finish(&mut world, "hundreds");
 }
 
-/// A successor finds cancelled jobs in the books whose tasks run on machines that only the former owner can
+/// A successor finds cancelled jobs in the stored records whose tasks run on machines that only the former owner can
 /// reach, which is cut off from all else and goes on answering them. Then the state service is away, too, and it
-/// can't be written down that the machines are to go. When they have to follows from the time in the books.
+/// can't be written down that the machines are to go. When they have to follows from the time in the stored records.
 #[test]
 fn a_successor_that_cannot_reach_the_machines_deletes_them_in_time() {
     for seed in seeds(23, 4) {
