--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -89,11 +89,11 @@
     finish(&mut world, "quiet");
     let done = world.jobs.values().filter(|j| j.told == Some(JobState::Done)).count();
     assert!(done >= 15, "only {done} jobs were done");
-    // Only outcomes, machines and seats stay in the books.
+    // Only outcomes, machines and roles stay in the stored records.
     world.run_for(30 * S);
     let left: Vec<String> =
-        world.books().into_iter().filter(|k| k.contains("/run/") || k.contains("/batch/")).collect();
-    assert!(left.is_empty(), "left in the books: {left:?}");
+        world.stored_keys().into_iter().filter(|k| k.contains("/run/") || k.contains("/batch/")).collect();
+    assert!(left.is_empty(), "left in the stored records: {left:?}");
 }
 
 #[test]
@@ -257,9 +257,9 @@
         ordinary_jobs(&mut world, 30);
         world.run_for(10 * S);
         let nth = world.pick(5) as usize;
-        let deaf = world.deafen(nth, 300 * S).expect("a machine");
+        let unreachable = world.make_unreachable(nth, 300 * S).expect("a machine");
         world.run_for(25 * S);
-        assert!(!world.workers.contains_key(&deaf), "{seed}: {deaf} is still there");
+        assert!(!world.workers.contains_key(&unreachable), "{seed}: {unreachable} is still there");
         finish(&mut world, &format!("deaf machine {seed}"));
     }
 }
@@ -281,7 +281,7 @@
     world.run_for(30 * S);
     let before: Vec<MachineId> = world.workers.keys().cloned().collect();
     for nth in 0..before.len() {
-        world.deafen(nth, 15 * S);
+        world.make_unreachable(nth, 15 * S);
     }
     world.run_for(20 * S);
     let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
@@ -290,7 +290,7 @@
     finish(&mut world, "all deaf");
 }
 
-/// Late copies prove nothing: no ghost of a deleted machine comes into the books, no lease is taken
+/// Late copies prove nothing: no ghost of a deleted machine comes into the stored records, no lease is taken
 /// for renewed, no task for absent.
 #[test]
 fn late_copies_of_reports_prove_nothing() {
@@ -311,8 +311,8 @@
         world.report_copies = 0;
         world.run_for(100 * S);
         let ghosts: Vec<MachineId> =
-            world.booked_machines().into_iter().filter(|id| !world.workers.contains_key(id)).collect();
-        assert!(ghosts.is_empty(), "{seed}: in the books but not there: {ghosts:?}");
+            world.stored_machines().into_iter().filter(|id| !world.workers.contains_key(id)).collect();
+        assert!(ghosts.is_empty(), "{seed}: in the stored records but not there: {ghosts:?}");
     }
 }
 
@@ -447,7 +447,7 @@
         ordinary_jobs(&mut world, 120);
         world.run_for(15 * S);
         for nth in [3, 60, 110] {
-            world.deafen(nth, 100 * S);
+            world.make_unreachable(nth, 100 * S);
         }
         let alone = world.pick(5) as usize;
         world.cut(20 * S, true, move |a, b| *a == Place::Node(alone) && *b == Place::State);
@@ -478,7 +478,7 @@
         ordinary_jobs(&mut world, 30);
         world.run_for(20 * S);
         let leader = world.holder("leader").expect("somebody leads");
-        let machines = world.booked_machines().len();
+        let machines = world.stored_machines().len();
         world.freeze(leader, span);
         if seed % 2 == 1 {
             // All on their own during an outage: no share changes hands, nobody answers its machines.
@@ -492,7 +492,7 @@
         world.run_for(span + 6 * S);
         assert_eq!(world.unowned_shares(), 0, "freeze {seed}");
         // What fell silent by its own standstill must not be deleted.
-        assert!(world.booked_machines().len() * 2 > machines, "freeze {seed}: machines deleted");
+        assert!(world.stored_machines().len() * 2 > machines, "freeze {seed}: machines deleted");
         finish(&mut world, &format!("freeze {seed}"));
     }
 }
--- a/tests/rules/meetings.rs
+++ b/tests/rules/meetings.rs
@@ -19,7 +19,7 @@
 }
 
 /// All controllers are away for longer than a lease: the workers have killed everything and begun new sessions,
-/// while the books still show starts. Then one is back at once and the others later, or all a moment after the
+/// while the stored records still show starts. Then one is back at once and the others later, or all a moment after the
 /// first has ended again. Starts of earlier sessions must count as gone, late reports of them as nothing.
 #[test]
 fn all_controllers_are_away_for_longer_than_a_lease() {
@@ -56,8 +56,8 @@
         let lost: BTreeSet<MachineId> = (0..3).filter_map(|n| world.nth_worker(n * 2)).collect();
         let hold = seed % 2 == 0;
         world.cut(28 * S, hold, move |a, _| matches!(a, Place::Worker(id) if lost.contains(id)));
-        for seat in ["leader", "share/0", "share/1"] {
-            if let Some(node) = world.holder(seat) {
+        for role in ["leader", "share/0", "share/1"] {
+            if let Some(node) = world.holder(role) {
                 world.crash(node, 5 * S);
             }
             world.run_for(S);
@@ -103,7 +103,7 @@
 
 /// Transactions without an answer are sent again, and both may be carried out, the first copy seconds later and
 /// after newer ones of the same controller, or of its successor. No condition may hold again by then: not on a
-/// batch that was cleared away, a chunk that was removed, a seat that has gone on, or a session that has ended.
+/// batch that was cleared away, a chunk that was removed, a role that has gone on, or a session that has ended.
 #[test]
 fn transactions_without_an_answer_are_carried_out_late() {
     for seed in seeds(33, 6) {
@@ -122,8 +122,8 @@
         }
         finish(&mut world, &format!("late writes {seed}"));
         world.run_for(40 * S);
-        let left: Vec<String> = world.books().into_iter().filter(|k| k.contains("/run/")).collect();
-        assert!(left.is_empty(), "{seed}: left in the books: {left:?}");
+        let left: Vec<String> = world.stored_keys().into_iter().filter(|k| k.contains("/run/")).collect();
+        assert!(left.is_empty(), "{seed}: left in the stored records: {left:?}");
     }
 }
 
@@ -246,13 +246,13 @@
             .filter(|n| world.workers.values().nth(*n).is_some_and(|w| w.tasks.keys().any(|k| services.contains(&k.0))))
             .collect();
         let nth = serving.first().copied().unwrap_or(0);
-        let mute = world.mute(nth, 300 * S).expect("a machine");
+        let unreported = world.unreported(nth, 300 * S).expect("a machine");
         if seed % 2 == 1 {
             let node = world.holder("share/2").expect("owned");
             world.crash(node, 4 * S);
         }
         world.run_for(30 * S);
-        assert!(!world.workers.contains_key(&mute), "{seed}: {mute} is still there");
+        assert!(!world.workers.contains_key(&unreported), "{seed}: {unreported} is still there");
         for id in &services {
             assert_eq!(world.running(id), 2, "{seed}: {id} is not up again");
             world.call_off(id);
@@ -270,7 +270,7 @@
     world.run_for(30 * S);
     let before: Vec<MachineId> = world.workers.keys().cloned().collect();
     for nth in 0..before.len() {
-        world.mute(nth, 25 * S);
+        world.unreported(nth, 25 * S);
     }
     world.run_for(40 * S);
     let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
@@ -299,7 +299,7 @@
             }
             1 => {
                 for nth in 0..2 {
-                    world.deafen(nth, 30 * S);
+                    world.make_unreachable(nth, 30 * S);
                 }
             }
             _ => {
@@ -367,8 +367,8 @@
             let span = (1 + world.pick(25)) * S;
             match world.pick(9) {
                 0 => world.late_writes(span, 4),
-                1 => drop(world.mute(nth, span)),
-                2 => drop(world.deafen(nth, span)),
+                1 => drop(world.unreported(nth, span)),
+                2 => drop(world.make_unreachable(nth, span)),
                 3 => call_off_some(&mut world, 10),
                 4 => world
                     .cut(span, true, move |a, b| *a == Place::Node(node) && matches!(b, Place::State | Place::Node(_))),
--- a/tests/rules/pipelines.rs
+++ b/tests/rules/pipelines.rs
@@ -87,8 +87,8 @@
         assert_eq!(world.jobs[&unrelated].told, Some(expected));
         // That follows from the other's outcome, and is written down when there is time for it.
         world.run_for(60 * S);
-        let left: Vec<String> = world.books().into_iter().filter(|k| k.contains("/batch/")).collect();
-        assert!(left.is_empty(), "left in the books: {left:?}");
+        let left: Vec<String> = world.stored_keys().into_iter().filter(|k| k.contains("/batch/")).collect();
+        assert!(left.is_empty(), "left in the stored records: {left:?}");
     }
 }
 
@@ -198,7 +198,7 @@
     finish(&mut world, "chain and fan");
 }
 
-/// An upgrade, one controller after the other, while both versions serve on each other's books: the old one writes
+/// An upgrade, one controller after the other, while both versions serve on each other's records: the old one writes
 /// larger values and transactions. One that is still old ends and comes back old, the state service is away for a
 /// while, and jobs are cancelled whose owner is just being replaced. Once all are new pipelines come, and then the
 /// limits drop. (What else the old version was is in its bytes: `production.rs`.)
@@ -251,7 +251,7 @@
     let last = stage(&mut world, 5000, "red", 1, &many);
     world.run_for(60 * S);
     assert!(world.jobs[&last].accepted, "not accepted");
-    assert!(world.books().iter().filter(|k| k.contains("/awaits/")).count() >= 2, "in pieces");
+    assert!(world.stored_keys().iter().filter(|k| k.contains("/awaits/")).count() >= 2, "in pieces");
     world.crash(0, S);
     world.run_for(5 * S);
     // The last of all is what it waits for, as read back.
@@ -262,11 +262,11 @@
     world.call_off(&root);
     finish(&mut world, "hundreds awaited");
     world.run_for(300 * S);
-    let left: Vec<String> = world.books().into_iter().filter(|k| k.contains("/awaits/")).collect();
-    assert!(left.is_empty(), "left in the books: {left:?}");
+    let left: Vec<String> = world.stored_keys().into_iter().filter(|k| k.contains("/awaits/")).collect();
+    assert!(left.is_empty(), "left in the stored records: {left:?}");
 }
 
-/// The limits drop without notice while arrays with hundreds of tasks run whose books were written under the old
+/// The limits drop without notice while arrays with hundreds of tasks run whose records were written under the old
 /// ones: nothing larger is written any more, nothing is lost, and all get done.
 #[test]
 fn limits_of_the_state_service_drop_without_notice() {
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -370,9 +370,9 @@
         self.at(duration, Event::Thaw(node, life));
     }
 
-    /// The controller that holds a seat: `leader`, or `share/` and a number.
-    pub fn holder(&self, seat: &str) -> Option<usize> {
-        let (value, ..) = self.state.keys.get(&format!("{ROOT}{seat}"))?;
+    /// The controller that holds a role: `leader`, or `share/` and a number.
+    pub fn holder(&self, role: &str) -> Option<usize> {
+        let (value, ..) = self.state.keys.get(&format!("{ROOT}{role}"))?;
         let text = format!("{value:?}");
         (0..self.size.nodes).find(|n| text.contains(&format!("node-{n}")))
     }
@@ -384,22 +384,22 @@
     }
 
     /// The machine's reports arrive, but neither answers nor commands reach it.
-    pub fn deafen(&mut self, nth: usize, duration: u64) -> Option<MachineId> {
+    pub fn make_unreachable(&mut self, nth: usize, duration: u64) -> Option<MachineId> {
         let id = self.nth_worker(nth)?;
         tracing::info!(at_ms = self.now / MS, machine = %id, duration, "trouble: deaf");
         let until = self.now + duration;
-        let deaf = Place::Worker(id.clone());
-        let between = move |_: &Place, to: &Place| *to == deaf;
+        let unreachable = Place::Worker(id.clone());
+        let between = move |_: &Place, to: &Place| *to == unreachable;
         self.cuts.push(Cut { between: Box::new(between), until, hold: false, one_way: true });
         Some(id)
     }
 
     /// The machine's reports reach no controller, though direct commands reach it and are answered.
-    pub fn mute(&mut self, nth: usize, duration: u64) -> Option<MachineId> {
+    pub fn unreported(&mut self, nth: usize, duration: u64) -> Option<MachineId> {
         let id = self.nth_worker(nth)?;
         tracing::info!(at_ms = self.now / MS, machine = %id, duration, "trouble: mute");
         let until = self.now + duration;
-        self.workers.get_mut(&id)?.mute_until = until;
+        self.workers.get_mut(&id)?.unreported_until = until;
         Some(id)
     }
 
@@ -435,7 +435,7 @@
     /// From here on every job has to be answered for.
     pub fn troubles_end(&mut self) {
         let until = self.cuts.iter().map(|c| c.until).chain([self.state.down_until]);
-        let machines = self.workers.values().flat_map(|w| [w.hung_until, w.mute_until]);
+        let machines = self.workers.values().flat_map(|w| [w.hung_until, w.unreported_until]);
         let until =
             until.chain(self.state.refused.values().copied()).chain(machines).chain([self.late_writes.0, self.slow.0]);
         let until = until.max().unwrap_or(0).max(self.now);
@@ -1071,13 +1071,13 @@
         }
     }
 
-    /// Everything the state service holds, for checks of the books.
-    pub fn books(&self) -> Vec<String> {
+    /// Everything the state service holds, for checks of the stored records.
+    pub fn stored_keys(&self) -> Vec<String> {
         self.state.keys.keys().filter(|k| k.starts_with(ROOT)).cloned().collect()
     }
 
-    /// Machines in the books, whether by a key of their own or by a fleet's.
-    pub fn booked_machines(&self) -> Vec<MachineId> {
+    /// Machines in the stored records, whether by a key of their own or by a fleet's.
+    pub fn stored_machines(&self) -> Vec<MachineId> {
         let mut replica = burlhatch::bookkeeping::Replica::default();
         for (key, (value, version, _)) in &self.state.keys {
             replica.apply(key, Some(value), *version);
@@ -1171,7 +1171,7 @@
             let records: Vec<_> =
                 self.state.keys.iter().filter(|(k, _)| k.contains(id.as_str())).map(|(k, v)| (k, &v.0)).collect();
             format!(
-                "{id} {:?} done {:?} cancelled {:?} at {places:?} books {records:?}",
+                "{id} {:?} done {:?} cancelled {:?} at {places:?} records {records:?}",
                 j.spec, j.done_tasks, j.cancel_at
             )
         })
--- a/tests/rules/world/records.rs
+++ b/tests/rules/world/records.rs
@@ -49,7 +49,7 @@
     }
 
     /// Starts recorded on machines of other shares than their job's: whoever commands these tells nothing of them to
-    /// the job's share. One on a machine that is not in the books any more is harmless, as it was deleted.
+    /// the job's share. One on a machine that is not in the stored records any more is harmless, as it was deleted.
     fn misplaced(&self, id: &JobId, chunk: u32, now: &RunChunk) -> Vec<String> {
         let before: Option<&Versioned<RunChunk>> = self.replica.runs.get(id).and_then(|chunks| chunks.get(&chunk));
         let known = |start: &StartRecord| before.is_some_and(|b| b.value.starts.contains(start));
@@ -60,7 +60,7 @@
             .starts
             .iter()
             .filter(|start| !known(start))
-            .filter_map(|start| Some((&start.2, self.replica.machines.get(&start.2)?.value.share)))
+            .filter_map(|start| Some((&start.machine, self.replica.machines.get(&start.machine)?.value.share)))
             .collect();
         let wrong = placed.into_iter().filter(|(_, of)| *of != share);
         wrong.map(|(machine, of)| format!("a start of {id}, share {share}, is recorded on {machine} of {of}")).collect()
--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -5,7 +5,7 @@
 use super::{CANCEL_S, Event, Fate, MS, Place, S, World};
 use burlhatch::coordination::{Command, OrdersOutcome, WorkerAnswer};
 use burlhatch::protocol::user::{JobSpec, Kind};
-use burlhatch::protocol::worker::{DirectOrders, Order, Report, ReportedTask, TaskState, Why};
+use burlhatch::protocol::worker::{DirectOrders, ExitCause, Order, Report, ReportedTask, TaskState};
 use burlhatch::units::{JobId, MachineId, TaskId, Term};
 use std::collections::BTreeMap;
 
@@ -40,7 +40,7 @@
     /// When the last answered report was sent, or the session began.
     renewed: u64,
     pub tasks: BTreeMap<(JobId, u32), Task>,
-    exited: BTreeMap<(JobId, u32, u64), Why>,
+    exited: BTreeMap<(JobId, u32, u64), ExitCause>,
     cache: Vec<String>,
     done: Vec<(JobId, u32)>,
     node: usize,
@@ -51,7 +51,7 @@
     pub hung_until: u64,
     pub sick: bool,
     /// Until then its reports reach nobody.
-    pub mute_until: u64,
+    pub unreported_until: u64,
 }
 
 impl Worker {
@@ -111,7 +111,7 @@
             changed: true,
             hung_until: 0,
             sick: false,
-            mute_until: 0,
+            unreported_until: 0,
         };
         self.workers.insert(id.clone(), worker);
         self.at(100 * MS, Event::WorkerStep { machine: id.clone() });
@@ -151,9 +151,9 @@
             let node = if self.chance(2) { self.pick(self.size.nodes as u64) as usize } else { node };
             self.at(late, Event::Report { node, report: report.clone(), serial: 0 });
         }
-        let mute = self.workers.get(&id).is_some_and(|w| w.mute_until > now);
+        let unreported = self.workers.get(&id).is_some_and(|w| w.unreported_until > now);
         match self.fate(&Place::Worker(id.clone()), &Place::Node(node)) {
-            Fate::Arrives(_) | Fate::Held(_) if mute => {}
+            Fate::Arrives(_) | Fate::Held(_) if unreported => {}
             Fate::Arrives(delay) | Fate::Held(delay) => self.at(delay, Event::Report { node, report, serial }),
             Fate::Refused => self.at(MS, Event::ReportAnswer { machine: id.clone(), serial, answer: None }),
         }
@@ -240,7 +240,7 @@
                     let Some(key) = TaskId::parse(task).map(|t| (t.job, t.index)) else { continue };
                     let here = self.workers.get(id).and_then(|w| w.tasks.get(&key));
                     if here.is_some_and(|t| t.attempt == *attempt) {
-                        self.exit(id, &key, Why::Stopped);
+                        self.exit(id, &key, ExitCause::Stopped);
                     }
                 }
                 Order::Forget { task, attempt } => {
@@ -269,9 +269,9 @@
         }
         worker.changed = true;
         if worker.tasks.contains_key(&key) {
-            worker.exited.insert((key.0, key.1, attempt), Why::Busy);
+            worker.exited.insert((key.0, key.1, attempt), ExitCause::Busy);
         } else if cpus + spec.cpus > cpus_of(&worker.machine_type) + 1e-9 {
-            worker.exited.insert((key.0, key.1, attempt), Why::NoRoom);
+            worker.exited.insert((key.0, key.1, attempt), ExitCause::NoRoom);
         } else {
             let cached = worker.cache.contains(&spec.image);
             let due = now + if cached { 0 } else { S };
@@ -283,7 +283,7 @@
         }
     }
 
-    fn exit(&mut self, id: &MachineId, key: &(JobId, u32), why: Why) {
+    fn exit(&mut self, id: &MachineId, key: &(JobId, u32), why: ExitCause) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if let Some(task) = worker.tasks.remove(key) {
             worker.exited.insert((key.0.clone(), key.1, task.attempt), why);
@@ -321,9 +321,9 @@
             };
         }
         if sick {
-            self.exit(id, key, Why::Error);
+            self.exit(id, key, ExitCause::Error);
         } else if finished {
-            self.exit(id, key, Why::Done);
+            self.exit(id, key, ExitCause::Done);
         } else if kind == Kind::Gang {
             self.gang_may_start(&key.0);
         }
@@ -469,7 +469,7 @@
             let Some(spec) = self.jobs.get(&key.0).map(|j| j.spec.clone()) else { continue };
             match task.state {
                 TaskState::Fetching => self.arrives(&id, &key),
-                TaskState::Waiting => self.exit(&id, &key, Why::Alone),
+                TaskState::Waiting => self.exit(&id, &key, ExitCause::Alone),
                 TaskState::Running if spec.kind == Kind::Gang => {
                     if self.gang_whole(&key.0, task.attempt, spec.tasks) {
                         let members: Vec<(MachineId, (JobId, u32))> = self
@@ -482,7 +482,7 @@
                             self.complete(&machine, &member);
                         }
                     } else {
-                        self.exit(&id, &key, Why::Peers);
+                        self.exit(&id, &key, ExitCause::Peers);
                     }
                 }
                 TaskState::Running => self.complete(&id, &key),
@@ -516,6 +516,6 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.done.push(key.clone());
         }
-        self.exit(id, key, Why::Done);
+        self.exit(id, key, ExitCause::Done);
     }
 }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -1,7 +1,7 @@
-//! Who moves machines out of a share, by what the seats in the replica announce.
+//! Who moves machines out of a share, by what the roles in the replica announce.
 
 use burlhatch::bookkeeping::Replica;
-use burlhatch::bookkeeping::schema::{Key, RecordVersion, Seat, SeatRecord, to_value};
+use burlhatch::bookkeeping::schema::{Key, RecordVersion, Role, RoleRecord, to_value};
 use burlhatch::coordination::versions::{Mover, leader_leaves_moves, mover};
 use burlhatch::units::Term;
 
@@ -10,10 +10,10 @@
 
 fn replica(leader: Option<RecordVersion>, holder: Option<RecordVersion>) -> Replica {
     let mut replica = Replica::default();
-    for (seat, version) in [(Seat::Leader, leader), (Seat::Share(2), holder)] {
+    for (role, version) in [(Role::Leader, leader), (Role::Share(2), holder)] {
         if let Some(version) = version {
-            let record = SeatRecord { owner: "node-1".into(), incarnation: 1, term: Term(1), version };
-            replica.apply(&Key::Seat(seat).to_string(), Some(&to_value(&record)), 1);
+            let record = RoleRecord { owner: "node-1".into(), incarnation: 1, term: Term(1), version };
+            replica.apply(&Key::Role(role).to_string(), Some(&to_value(&record)), 1);
         }
     }
     replica
