--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -328,7 +328,10 @@
         if !unmet.is_empty() {
             return;
         }
-        let idle = Micros::from_millis(self.policy.idle_return_ms);
+        // Each machine returned costs a few changes, and one rented again another.
+        let plenty = self.budget.is_idle(now);
+        let idle_ms = if plenty { self.policy.idle_return_ms } else { self.policy.idle_return_short_ms };
+        let idle = Micros::from_millis(idle_ms);
         let ids: Vec<MachineId> = slots
             .values()
             .flatten()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -425,6 +425,8 @@
     reserve_window_ms: u64 = 60000, 1000, 3600000;
     /// A machine without tasks is returned after this long.
     idle_return_ms: u64 = 40000, 0, 86400000;
+    /// The same while changes of the state service are short, as returning a machine takes some.
+    idle_return_short_ms: u64 = 160000, 0, 86400000;
     /// A machine goes to another share's batch work only after it has been free for this long, so that its
     /// own share's next job finds it; more urgent work gets it at once.
     shift_after_ms: u64 = 5000, 0, 86400000;
