Failure detection as named verdicts; cloud answers and run chunks in short steps

replace_silent, cloud_outcome and sync_chunk cut into steps with one job each; what a machine's silence says is an enum. No behaviour changes.

--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -6,6 +6,7 @@
 use ciborium::Value;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// Everything lives below this prefix, so that one watch sees all of it in one order.
@@ -248,6 +249,22 @@
         self.done.iter().any(|&(a, b)| a <= task && task <= b)
     }
 
+    /// Whether a task is done, or a start of it is recorded.
+    pub fn names(&self, task: u32) -> bool {
+        self.is_done(task) || self.starts.iter().any(|start| start.task == task)
+    }
+
+    pub fn starts_by_task(&self) -> BTreeMap<u32, &StartRecord> {
+        self.starts.iter().map(|start| (start.task, start)).collect()
+    }
+
+    /// The task after the last that it names.
+    pub fn next_fresh(&self) -> u32 {
+        let started = self.starts.iter().map(|start| start.task + 1).max();
+        let done = self.done.last().map(|range| range.1 + 1);
+        started.max(done).unwrap_or(0)
+    }
+
     pub fn done_count(&self) -> u32 {
         self.done.iter().map(|&(a, b)| b - a + 1).sum()
     }
--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -45,6 +45,18 @@
     }
 }
 
+/// What a machine's silence is taken to say.
+#[derive(PartialEq)]
+enum Silence {
+    /// It alone has failed: it is replaced.
+    Lost(MachineId),
+    /// Its whole zone is cut off.
+    ZoneCutOff(String),
+    /// So many are silent that the fault is taken to be our own network.
+    ManySilent,
+    Undecided,
+}
+
 impl Core {
     /// A worker whose lease has surely run out has killed its tasks. Only our answers can have
     /// renewed it once it has shown our token.
@@ -164,40 +176,56 @@
     pub(super) fn replace_silent(&mut self, ours: &[MachineId]) {
         let now = self.now();
         let after = Micros::from_millis(self.policy.replace_after_ms);
-        let silent: Vec<MachineId> = ours
-            .iter()
-            .filter(|id| {
-                self.machines
-                    .get(*id)
-                    .is_some_and(|m| m.probes_failed >= self.policy.probes_failed && now.since(m.heard) >= after)
-            })
-            .cloned()
-            .collect();
-        // Never heard since we took the share, for longer than a lease: nothing but a deletion can
-        // prove its tasks gone, however many are silent.
+        let silent = self.silent_of(ours, after);
+        self.replace_never_heard(&silent);
+        if silent.is_empty() || self.many_unreachable.is_some_and(|at| now.since(at) < after) {
+            return;
+        }
+        let verdicts = self.judge_silence(ours, silent, after);
+        let cut = verdicts.iter().filter_map(|verdict| match verdict {
+            Silence::ZoneCutOff(zone) => Some((zone.clone(), now)),
+            _ => None,
+        });
+        self.zones_cut.extend(cut);
+        if verdicts.contains(&Silence::ManySilent) {
+            self.many_unreachable = Some(now);
+            return;
+        }
+        for verdict in verdicts {
+            if let Silence::Lost(id) = verdict {
+                self.set_hold(&id, Hold::Doomed);
+            }
+        }
+    }
+
+    /// Machines that have been silent for so long, with enough failed probes.
+    fn silent_of(&self, ours: &[MachineId], after: Micros) -> Vec<MachineId> {
+        let now = self.now();
+        let silent = |m: &Machine| m.probes_failed >= self.policy.probes_failed && now.since(m.heard) >= after;
+        ours.iter().filter(|id| self.machines.get(*id).is_some_and(silent)).cloned().collect()
+    }
+
+    /// Never heard since we took the share, for longer than a lease: nothing but a deletion can prove its tasks gone,
+    /// however many are silent.
+    fn replace_never_heard(&mut self, silent: &[MachineId]) {
+        let now = self.now();
         let lease = Micros::from_secs_f64(self.platform.deployment.workers.lease_s * 1.002 + 2.0);
-        let lost: Vec<MachineId> = silent
-            .iter()
-            .filter(|id| self.machines.get(*id).is_some_and(|m| !m.term_confirmed && now.since(m.heard) >= lease))
-            .cloned()
-            .collect();
-        for id in &lost {
-            self.set_hold(id, Hold::Doomed);
+        for id in silent {
+            let never = self.machines.get(id).is_some_and(|m| !m.term_confirmed && now.since(m.heard) >= lease);
+            if never {
+                self.set_hold(id, Hold::Doomed);
+            }
         }
+    }
+
+    /// What the silence of each machine says, compared with the share's others and those of its zone.
+    fn judge_silence(&self, ours: &[MachineId], silent: Vec<MachineId>, after: Micros) -> Vec<Silence> {
         // Machines go silent one by one even if all are cut off at once, as each was last heard at
         // a moment of its own. So the others must have been heard well after this one fell silent.
         let gap = Micros::from_millis(self.policy.probe_after_ms + self.policy.probe_ms);
-        if self.many_unreachable.is_some_and(|at| now.since(at) < after) {
-            return;
-        }
-        if silent.is_empty() {
-            return;
-        }
         let others = Contacts::of(ours.iter().filter_map(|id| self.machines.get(id)));
         let mut zones: BTreeMap<&str, Contacts> = BTreeMap::new();
-        let mut lost_for_good = Vec::new();
-        let mut cut: BTreeSet<String> = BTreeSet::new();
-        let mut many_silent = false;
+        let mut verdicts = Vec::new();
         for id in silent {
             let Some(last) = self.machines.get(&id).map(|m| m.heard) else { continue };
             let Some(zone) = self.replica.machines.get(&id).map(|m| m.value.zone.as_str()) else { continue };
@@ -205,35 +233,39 @@
                 let there = |id: &&MachineId| self.replica.machines.get(*id).is_some_and(|m| m.value.zone == zone);
                 Contacts::of(ours.iter().filter(there).filter_map(|id| self.machines.get(id)))
             });
-            let (lost, heard) = others.since(last + gap);
-            let (lost_there, heard_there) = in_zone.since(last + gap);
-            // It is itself among the lost.
-            let (lost, all) = (lost.saturating_sub(1), (lost + heard).saturating_sub(1));
-            // With hardly any other to compare with, more patience.
-            let alone = all < 2 && now.since(last) < Micros(after.0 * 3);
-            // In a small share one other may well be lost too, but if none at all was heard the fault is ours.
-            let many = lost as f64 > (all as f64 * self.policy.replace_max_part).max(1.0) || (all >= 2 && heard == 0);
-            // Most of its zone and hardly anything else: the zone is cut off, its machines work on.
-            let zone_lost = lost_there >= ZONE_LOST_LEAST
-                && lost_there as f64 > (lost_there + heard_there) as f64 * self.policy.zone_max_part;
-            // When a cut ends, its machines are heard again one by one, and the last need a while.
-            let zone_was_lost = self.zones_cut.get(zone).is_some_and(|at| now.since(*at) < after);
-            if many {
-                many_silent = true;
-            } else if zone_lost {
-                cut.insert(zone.to_string());
-            } else if !alone && !zone_was_lost {
-                lost_for_good.push(id);
-            }
-        }
-        self.zones_cut.extend(cut.into_iter().map(|zone| (zone, now)));
-        if many_silent {
-            self.many_unreachable = Some(now);
-            return;
-        }
-        for id in lost_for_good {
-            self.set_hold(&id, Hold::Doomed);
+            let moment = last + gap;
+            verdicts.push(if self.many_are_silent(others.since(moment)) {
+                Silence::ManySilent
+            } else if self.zone_is_lost(in_zone.since(moment)) {
+                Silence::ZoneCutOff(zone.to_string())
+            } else if self.silence_may_pass(others.since(moment), last, zone, after) {
+                Silence::Undecided
+            } else {
+                Silence::Lost(id)
+            });
         }
+        verdicts
+    }
+
+    /// In a small share one other may well be lost too, but if none at all was heard the fault is ours.
+    fn many_are_silent(&self, (lost, heard): (usize, usize)) -> bool {
+        // The one that is judged is itself among the lost.
+        let (lost, all) = (lost.saturating_sub(1), (lost + heard).saturating_sub(1));
+        lost as f64 > (all as f64 * self.policy.replace_max_part).max(1.0) || (all >= 2 && heard == 0)
+    }
+
+    /// Most of a zone and hardly anything else: the zone is cut off, its machines work on.
+    fn zone_is_lost(&self, (lost, heard): (usize, usize)) -> bool {
+        lost >= ZONE_LOST_LEAST && lost as f64 > (lost + heard) as f64 * self.policy.zone_max_part
+    }
+
+    /// With hardly any other to compare with, more patience. And when a cut ends, its machines are heard again one by
+    /// one, and the last need a while.
+    fn silence_may_pass(&self, (lost, heard): (usize, usize), last: Micros, zone: &str, after: Micros) -> bool {
+        let now = self.now();
+        let all = (lost + heard).saturating_sub(1);
+        let alone = all < 2 && now.since(last) < Micros(after.0 * 3);
+        alone || self.zones_cut.get(zone).is_some_and(|at| now.since(*at) < after)
     }
 
     /// How many machines fail to answer, and of how many that can be said: of those that heard something
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -2,12 +2,13 @@
 
 use super::Core;
 use super::pipelines::Urgency;
-use super::usage::{JobStarts, Phase, Start};
-use crate::bookkeeping::schema::{JobRecord, Outcome, RunChunk, StartRecord};
+use super::usage::{JobStarts, Phase, Start, Usage};
+use crate::bookkeeping::schema::{JobRecord, Outcome, RunChunk};
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::protocol::worker::ExitCause;
 use crate::units::{JobId, MachineId, Micros, Room};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::sync::Arc;
 
 pub(super) struct Job {
@@ -130,6 +131,56 @@
         self.spec.kind == Kind::Service || self.urgency.priority > Priority::Normal
     }
 
+    /// Starts of some tasks that are gone from their chunk, or never got there, vanish; says on which machines.
+    fn drop_vanished_starts(&mut self, chunk: &RunChunk, tasks: Range<u32>, usage: &mut Usage) -> Vec<MachineId> {
+        let recorded = chunk.starts_by_task();
+        let on_its_way = |live: &Start| self.locked && live.phase() == Phase::Decided;
+        let vanished = |task: u32, live: &Start| match recorded.get(&task) {
+            Some(start) => start.attempt != live.attempt || start.machine != *live.machine(),
+            None => !on_its_way(live),
+        };
+        let gone: Vec<u32> = self.live.range(tasks).filter(|(t, l)| vanished(*t, l)).map(|(t, _)| t).collect();
+        let mut machines = Vec::new();
+        for task in gone {
+            machines.extend(self.live.remove(task, usage).map(|live| live.machine().clone()));
+            let known = recorded.contains_key(&task) || chunk.is_done(task);
+            if !known && !self.done_unrecorded.contains(&task) {
+                self.redo.insert(task);
+            }
+        }
+        machines
+    }
+
+    /// Brings what is to be started in line with a chunk. `known`: whether the records name a task.
+    fn follow_progress(&mut self, chunk: &RunChunk, tasks: Range<u32>, known: impl Fn(u32) -> bool) {
+        self.done_unrecorded.retain(|t| !tasks.contains(t) || !chunk.is_done(*t));
+        let highest = self.fresh_from.max(chunk.next_fresh());
+        self.redo.extend((self.fresh_from..highest).filter(|task| !known(*task)));
+        self.fresh_from = highest;
+        let started = chunk.starts_by_task();
+        self.redo.retain(|t| !tasks.contains(t) || !(started.contains_key(t) || chunk.is_done(*t)));
+    }
+
+    /// Starts that a chunk names are recorded; says on which machines that is news.
+    fn take_recorded_starts(&mut self, chunk: &RunChunk, usage: &mut Usage) -> Vec<MachineId> {
+        let mut machines = Vec::new();
+        for start in &chunk.starts {
+            match self.live.get(start.task).map(Start::phase) {
+                Some(Phase::Decided) => self.live.set_phase(start.task, Phase::Recorded, usage),
+                Some(_) => continue,
+                None => {
+                    let mut live = Start::new(start.attempt, start.machine.clone(), start.session, Phase::Recorded);
+                    live.stop = self.over.map(|_| 0.0);
+                    // Whoever recorded it may have sent the command.
+                    live.sent = true;
+                    self.live.insert(start.task, live, usage);
+                }
+            }
+            machines.push(start.machine.clone());
+        }
+        machines
+    }
+
     fn dirty(&mut self, now: Micros) {
         self.dirty_since.get_or_insert(now);
     }
@@ -235,68 +286,16 @@
         let chunks = self.replica.runs.get(id).unwrap_or(&empty);
         let none = RunChunk::default();
         let chunk = chunks.get(&number).map_or(&none, |c| &c.value);
-        let recorded: BTreeMap<u32, &StartRecord> = chunk.starts.iter().map(|s| (s.task, s)).collect();
-        let mut highest = job.fresh_from;
-        if let Some((last, _)) = recorded.last_key_value() {
-            highest = highest.max(last + 1);
-        }
-        if let Some(last) = chunk.done.last() {
-            highest = highest.max(last.1 + 1);
-        }
+        let tasks = number * size..(number + 1).saturating_mul(size);
         job.done = chunks.values().map(|c| c.value.done_count()).sum();
-        let in_records = |t: u32| {
-            chunks.get(&(t / size)).is_some_and(|c| c.value.is_done(t) || c.value.starts.iter().any(|s| s.task == t))
-        };
-        let own = number * size..(number + 1).saturating_mul(size);
-        let mut touched: Vec<MachineId> = Vec::new();
-        // Gone from the stored records, or never got there.
-        let locked = job.locked;
-        let vanished: Vec<u32> = job
-            .live
-            .range(own.clone())
-            .filter(|(t, l)| match recorded.get(t) {
-                Some(s) => s.attempt != l.attempt || s.machine != *l.machine(),
-                None => !(locked && l.phase() == Phase::Decided),
-            })
-            .map(|(t, _)| t)
-            .collect();
-        for task in vanished {
-            if let Some(live) = job.live.remove(task, &mut self.usage) {
-                touched.push(live.machine().clone());
-            }
-            if !recorded.contains_key(&task) && !chunk.is_done(task) && !job.done_unrecorded.contains(&task) {
-                job.redo.insert(task);
-            }
-        }
-        job.done_unrecorded.retain(|t| !own.contains(t) || !chunk.is_done(*t));
-        for task in job.fresh_from..highest {
-            if !in_records(task) {
-                job.redo.insert(task);
-            }
-        }
-        job.fresh_from = highest;
-        job.redo.retain(|t| !own.contains(t) || !(recorded.contains_key(t) || chunk.is_done(*t)));
-        for (task, start) in &recorded {
-            match job.live.get(*task).map(|l| (l.phase(), l.machine().clone())) {
-                Some((Phase::Decided, machine)) => {
-                    job.live.set_phase(*task, Phase::Recorded, &mut self.usage);
-                    touched.push(machine);
-                }
-                Some(_) => {}
-                None => {
-                    let mut live = Start::new(start.attempt, start.machine.clone(), start.session, Phase::Recorded);
-                    live.stop = job.over.map(|_| 0.0);
-                    // Whoever recorded it may have sent the command.
-                    live.sent = true;
-                    job.live.insert(*task, live, &mut self.usage);
-                    touched.push(start.machine.clone());
-                }
-            }
-        }
+        let mut touched = job.drop_vanished_starts(chunk, tasks.clone(), &mut self.usage);
+        let known = |task: u32| chunks.get(&(task / size)).is_some_and(|c| c.value.names(task));
+        job.follow_progress(chunk, tasks.clone(), known);
+        touched.extend(job.take_recorded_starts(chunk, &mut self.usage));
         // A machine without a record was deleted: nothing is on it.
         let lost: Vec<u32> = job
             .live
-            .range(own)
+            .range(tasks)
             .filter(|(_, l)| l.occupies() && !self.replica.machines.contains_key(l.machine()))
             .map(|(t, _)| t)
             .collect();
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -4,7 +4,7 @@
 use super::txns::{Draft, MachineChange, Purpose};
 use super::{CloudCall, CloudOutcome, Core, Effect, TypeInfo};
 use crate::bookkeeping::schema::{Hold, Key, MachineRecord, to_value};
-use crate::protocol::cloud::{ListedMachine, ListedState, Rental};
+use crate::protocol::cloud::{ListedMachine, ListedState, MachineList, MachineTypes, Rental};
 use crate::units::{MachineId, Micros, Room};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -56,6 +56,11 @@
     pub unnamed: HashMap<String, Micros>,
 }
 
+/// Tries to learn what became of a rental without an answer, and the pause between them.
+const RENT_TRIES: u32 = 8;
+const RENT_AGAIN: Micros = Micros::from_millis(1000);
+/// A deletion that failed is asked for again after this.
+const DELETE_AGAIN: Micros = Micros::from_millis(500);
 const LIST_EVERY: Micros = Micros::from_millis(2500);
 const TYPES_EVERY: Micros = Micros::from_millis(60_000);
 /// How often capacity is planned.
@@ -98,53 +103,14 @@
         let Some(call) = self.leader.calls.remove(&number) else { return };
         let now = self.now();
         match (call, outcome) {
-            (Call::Types, CloudOutcome::Types(types)) => {
-                self.types = types
-                    .types
-                    .into_iter()
-                    .map(|t| {
-                        let room = Room::new(t.cpus, t.gpus, t.memory_gb);
-                        (t.name.clone(), TypeInfo { wire: t, room })
-                    })
-                    .collect();
-                self.pass_wanted = true;
-            }
+            (Call::Types, CloudOutcome::Types(types)) => self.types_listed(types),
             (Call::Types, _) => {}
-            (Call::List, CloudOutcome::List(list)) => {
-                self.leader.listing = false;
-                let more = list.more && !list.machines.is_empty();
-                self.leader.page.extend(list.machines);
-                if more && self.is_leader() {
-                    self.leader.listing = true;
-                    self.cloud(Call::List);
-                } else {
-                    let machines = std::mem::take(&mut self.leader.page);
-                    self.take_list(machines);
-                }
-            }
+            (Call::List, CloudOutcome::List(list)) => self.page_listed(list),
             (Call::List, _) => {
                 self.leader.listing = false;
                 self.leader.page.clear();
             }
-            (Call::Rent(rental, _), CloudOutcome::Rented(names)) => {
-                let offer = (rental.machine_type.clone(), rental.zone.clone(), rental.spot);
-                tracing::info!(offer = ?offer, asked = rental.count, got = names.machines.len(), "rented");
-                if (names.machines.len() as u32) < rental.count {
-                    self.refuse(offer, now);
-                }
-                for id in names.machines {
-                    if !self.replica.machines.contains_key(&id) {
-                        let boot = Boot {
-                            machine_type: rental.machine_type.clone(),
-                            zone: rental.zone.clone(),
-                            spot: rental.spot,
-                            since: now,
-                            last_listed: now,
-                        };
-                        self.leader.boots.entry(id).or_insert(boot);
-                    }
-                }
-            }
+            (Call::Rent(rental, _), CloudOutcome::Rented(names)) => self.rented(rental, names.machines),
             (Call::Rent(rental, _), CloudOutcome::NoCapacity) => {
                 let offer = (rental.machine_type, rental.zone, rental.spot);
                 tracing::info!(offer = ?offer, "no capacity");
@@ -152,29 +118,76 @@
             }
             (Call::Rent(rental, tries), _) => {
                 // It may have been carried out: the same name again tells what it brought.
-                if tries < 8 {
-                    self.leader.again.push((now + Micros::from_millis(1000), Call::Rent(rental, tries + 1)));
+                if tries < RENT_TRIES {
+                    self.leader.again.push((now + RENT_AGAIN, Call::Rent(rental, tries + 1)));
                 }
             }
-            (Call::Delete(ids), CloudOutcome::Deleted) => {
-                let mut recorded = Vec::new();
-                for id in ids {
-                    tracing::info!(machine = %id, "machine deleted");
-                    self.leader.boots.remove(&id);
-                    self.leader.deleted.insert(id.clone(), now);
-                    if self.replica.machines.contains_key(&id) {
-                        recorded.push(id);
-                    } else {
-                        self.leader.deleting.remove(&id);
-                    }
-                }
-                self.strike_out(recorded);
-            }
+            (Call::Delete(ids), CloudOutcome::Deleted) => self.deleted(ids),
             (Call::Clear(ids), CloudOutcome::Deleted) => self.machines_cleared(ids),
             // Asked for again as long as it is due.
             (Call::Clear(_), _) => {}
-            (Call::Delete(ids), _) => self.leader.again.push((now + Micros::from_millis(500), Call::Delete(ids))),
+            (Call::Delete(ids), _) => self.leader.again.push((now + DELETE_AGAIN, Call::Delete(ids))),
+        }
+    }
+
+    fn types_listed(&mut self, types: MachineTypes) {
+        let with_room = types.types.into_iter().map(|wire| {
+            let room = Room::new(wire.cpus, wire.gpus, wire.memory_gb);
+            (wire.name.clone(), TypeInfo { wire, room })
+        });
+        self.types = with_room.collect();
+        self.pass_wanted = true;
+    }
+
+    fn page_listed(&mut self, list: MachineList) {
+        self.leader.listing = false;
+        let more = list.more && !list.machines.is_empty();
+        self.leader.page.extend(list.machines);
+        if more && self.is_leader() {
+            self.leader.listing = true;
+            self.cloud(Call::List);
+        } else {
+            let machines = std::mem::take(&mut self.leader.page);
+            self.take_list(machines);
+        }
+    }
+
+    /// Machines that were rented boot now.
+    fn rented(&mut self, rental: Rental, machines: Vec<MachineId>) {
+        let now = self.now();
+        let offer = (rental.machine_type.clone(), rental.zone.clone(), rental.spot);
+        tracing::info!(offer = ?offer, asked = rental.count, got = machines.len(), "rented");
+        if (machines.len() as u32) < rental.count {
+            self.refuse(offer, now);
+        }
+        for id in machines {
+            if !self.replica.machines.contains_key(&id) {
+                let boot = Boot {
+                    machine_type: rental.machine_type.clone(),
+                    zone: rental.zone.clone(),
+                    spot: rental.spot,
+                    since: now,
+                    last_listed: now,
+                };
+                self.leader.boots.entry(id).or_insert(boot);
+            }
+        }
+    }
+
+    fn deleted(&mut self, ids: Vec<MachineId>) {
+        let now = self.now();
+        let mut recorded = Vec::new();
+        for id in ids {
+            tracing::info!(machine = %id, "machine deleted");
+            self.leader.boots.remove(&id);
+            self.leader.deleted.insert(id.clone(), now);
+            if self.replica.machines.contains_key(&id) {
+                recorded.push(id);
+            } else {
+                self.leader.deleting.remove(&id);
+            }
         }
+        self.strike_out(recorded);
     }
 
     /// Takes deleted machines out of the stored records, which proves to their shares that nothing is left
