After a refusal changes are taken to be short for ten seconds

Cause, from the account of changes: a controller with little to do spent its part on progress and on returning machines as soon as its own burst was full, while others were refused; the limit is common, and a refusal is all that one controller hears of the others' needs. It now counts for what may only be done with changes to spare.

--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -15,6 +15,10 @@
 const START: f64 = 1.2;
 /// Refusals within this time count as one.
 const REFUSAL_SPAN: Micros = Micros::from_millis(250);
+/// For so long after a refusal changes are taken to be short for all controllers.
+const SHORT_AFTER_REFUSAL: Micros = Micros::from_millis(10_000);
+/// Part of the burst that is left while there is little to do.
+const IDLE_LEVEL: f64 = 0.6;
 /// Users wait for their submissions.
 const BATCH_GAP_MOST: Micros = Micros::from_millis(250);
 /// Never more than this part of the limit, which leaves something for takeovers.
@@ -103,10 +107,12 @@
         self.level >= 1.0
     }
 
-    /// Whether there is little else to do with it.
+    /// Whether there is little else to do with it, here and at the other controllers: they share the limit, and
+    /// refusals are all that this one hears of their needs.
     pub fn is_idle(&mut self, now: Micros) -> bool {
         self.refill(now);
-        self.level >= self.burst * 0.6
+        let short = self.refused_at.is_some_and(|at| now.since(at) < SHORT_AFTER_REFUSAL);
+        !short && self.level >= self.burst * IDLE_LEVEL
     }
 
     pub fn spend(&mut self, now: Micros, changes: usize) {
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -290,6 +290,20 @@
     assert!((160..320).contains(&spent), "{spent} changes in 20 s");
 }
 
+/// Guards against spending on what can wait while other controllers, which share the limit, lack changes: a refusal is
+/// all that is heard of them.
+#[test]
+fn changes_are_not_plenty_for_a_while_after_a_refusal() {
+    let mut budget = Budget::new(50.0, 50.0, 5, 1.8);
+    let at = |s: u64| Micros::from_millis(s * 1000);
+    assert!(budget.is_idle(at(10)));
+    budget.refused(at(10));
+    assert!(!budget.is_idle(at(15)), "its own burst is full again, but others were short a moment ago");
+    assert!(budget.is_idle(at(21)));
+    budget.spend(at(21), 15);
+    assert!(!budget.is_idle(at(21)));
+}
+
 #[test]
 fn an_outcome_once_known_stays() {
     let mut replica = Replica::default();
