--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -10,49 +10,72 @@
 use ciborium::Value;
 use std::collections::{BTreeMap, HashMap};
 
+/// A value with the revision of its latest change.
 #[derive(Clone, Debug)]
 pub struct Versioned<T> {
+    /// As it was last read.
     pub value: T,
+    /// What a condition on its key must name.
     pub version: u64,
 }
 
 /// What a change touched; the owner of the replica looks up the rest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
+    /// A role was taken, renewed or given up.
     Role(Role),
+    /// A controller has come or gone.
     Node(String),
+    /// Machines have records, or other records than before.
     Machines(Vec<MachineId>),
+    /// Jobs were accepted, or their batches cleared away.
     Jobs(Vec<JobId>),
+    /// One chunk of a job's starts and progress.
     Run(JobId, u32),
+    /// What became of a job.
     End(JobId),
+    /// Nothing that anybody acts on.
     Nothing,
 }
 
 /// A job as its batch has it.
 #[derive(Clone, Debug)]
 pub struct KnownJob {
+    /// As it was accepted.
     pub record: JobRecord,
     /// Name and version of the batch. Of two that hold the job the older counts.
     pub batch: String,
+    /// Revision of that batch.
     pub version: u64,
 }
 
+/// The copy itself: maps by kind of key.
 #[derive(Default)]
 pub struct Replica {
+    /// All changes up to this revision are in.
     pub applied: Revision,
+    /// The counter of terms.
     pub term: Option<Versioned<Term>>,
+    /// Roles that are held.
     pub roles: BTreeMap<Role, Versioned<RoleRecord>>,
+    /// Controllers that are alive.
     pub nodes: BTreeMap<String, Versioned<NodeRecord>>,
     /// Machines as they stand: by their own keys, else by their fleets, then with version 0.
     pub machines: BTreeMap<MachineId, Versioned<MachineRecord>>,
     /// The machines' own keys, also of those that are gone.
     own_machines: HashMap<MachineId, Versioned<MachineRecord>>,
+    /// Machines registered together.
     pub fleets: BTreeMap<String, Versioned<Vec<FleetMember>>>,
     fleet_of: HashMap<MachineId, String>,
+    /// Jobs that were accepted and are not cleared away.
     pub jobs: HashMap<JobId, KnownJob>,
+    /// Names of the jobs of each batch.
     pub batches: BTreeMap<String, Versioned<Vec<JobId>>>,
+    /// Starts and progress of each job, by chunk.
     pub runs: HashMap<JobId, BTreeMap<u32, Versioned<RunChunk>>>,
+    /// Outcomes, for ever.
     pub ends: HashMap<JobId, Versioned<EndRecord>>,
+    /// Lists of awaited jobs that are not in a batch, by name and number.
     pub pieces: BTreeMap<String, BTreeMap<u32, Versioned<Vec<JobId>>>>,
     /// Own deletions ahead of `applied`, so that older puts don't bring the keys back.
     removed: HashMap<Key, u64>,
@@ -263,6 +286,7 @@
         self.runs.get(id).is_some_and(|chunks| chunks.values().any(|c| !c.value.starts.is_empty()))
     }
 
+    /// The latest term drawn.
     pub fn term_now(&self) -> Term {
         self.term.as_ref().map(|t| t.value).unwrap_or_default()
     }
--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -25,22 +25,31 @@
 /// A right that one controller holds at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Role {
+    /// Registers, rents, returns and plans.
     Leader,
+    /// Places the jobs of some teams on some machines.
     Share(u32),
 }
 
+/// A key in the state service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Key {
+    /// The counter of terms.
     Term,
+    /// Who holds a role.
     Role(Role),
+    /// That a controller is alive, by its label.
     Node(String),
     /// Machines taken into the stored records together. Written once; what changes about one of them goes
     /// to its own key, which precedes this.
     Fleet(String),
+    /// One machine, as far as it differs from its fleet's entry.
     Machine(MachineId),
     /// Jobs accepted together. Written once, removed when all of them are over.
     Batch(String),
+    /// Starts and progress of a job: one chunk of its tasks.
     Run(JobId, u32),
+    /// What became of a job.
     End(JobId),
     /// Jobs that one job awaits, as far as its entry in a batch has no room for them.
     AwaitedPart(String, u32),
@@ -64,6 +73,7 @@
 }
 
 impl Key {
+    /// Reads a key as the state service has it; nothing if it is none of ours.
     pub fn parse(text: &str) -> Option<Key> {
         let rest = text.strip_prefix(ROOT)?;
         match rest.split_once('/') {
@@ -102,13 +112,16 @@
     }
 }
 
+/// Who holds a role.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoleRecord {
+    /// Label of the controller.
     #[serde(rename = "o")]
     pub owner: String,
     /// Distinguishes the owner's process from earlier ones under the same label.
     #[serde(rename = "i")]
     pub incarnation: u64,
+    /// Drawn when the role was taken or renewed.
     #[serde(rename = "t")]
     pub term: Term,
     /// The owner's.
@@ -116,30 +129,39 @@
     pub version: RecordVersion,
 }
 
+/// A controller that is alive.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
+    /// Distinguishes its process from earlier ones.
     #[serde(rename = "i")]
     pub incarnation: u64,
     /// It can't reach the machines and should not be given shares.
     #[serde(rename = "u", default)]
     pub unfit: bool,
+    /// Its own.
     #[serde(rename = "v", default, skip_serializing_if = "RecordVersion::is_first")]
     pub version: RecordVersion,
 }
 
+/// A machine as it stands.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MachineRecord {
+    /// Share that it belongs to.
     #[serde(rename = "s")]
     pub share: u32,
     /// Orders to this machine carry this or the share's term, whichever is higher.
     #[serde(rename = "t")]
     pub term: Term,
+    /// Its type, as the cloud names it.
     #[serde(rename = "h")]
     pub machine_type: String,
+    /// Its zone.
     #[serde(rename = "z")]
     pub zone: String,
+    /// Whether it may be taken back at any moment.
     #[serde(rename = "d")]
     pub spot: bool,
+    /// Address of its worker.
     #[serde(rename = "a")]
     pub addr: String,
     /// Nothing may be started there any more.
@@ -147,6 +169,7 @@
     pub hold: Option<Hold>,
 }
 
+/// Why nothing may be started on a machine any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hold {
     /// To be given to another share as soon as nothing is recorded on it.
@@ -166,8 +189,10 @@
 /// One machine of a fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetMember {
+    /// The machine.
     #[serde(rename = "m")]
     pub id: MachineId,
+    /// As it was registered.
     #[serde(flatten)]
     pub record: MachineRecord,
 }
@@ -175,12 +200,15 @@
 /// One job of a batch.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BatchMember {
+    /// The job.
     #[serde(rename = "j")]
     pub id: JobId,
+    /// As it was accepted.
     #[serde(flatten)]
     pub record: JobRecord,
 }
 
+/// A job as it was accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Time of day at which the job was accepted.
@@ -189,6 +217,7 @@
     /// Where the rest of what it awaits is: a name, and how many keys.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub pieces: Option<(String, u32)>,
+    /// What its user submitted.
     #[serde(flatten)]
     pub spec: JobSpec,
 }
@@ -205,8 +234,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "StoredStart", into = "StoredStart")]
 pub struct StartRecord {
+    /// Index of the task in its job.
     pub task: u32,
+    /// Number of the attempt.
     pub attempt: u64,
+    /// Where it was started.
     pub machine: MachineId,
     /// Of the machine, when the start was decided.
     pub session: u64,
@@ -245,6 +277,7 @@
 }
 
 impl RunChunk {
+    /// Whether a task is done.
     pub fn is_done(&self, task: u32) -> bool {
         self.done.iter().any(|&(a, b)| a <= task && task <= b)
     }
@@ -254,6 +287,7 @@
         self.is_done(task) || self.starts.iter().any(|start| start.task == task)
     }
 
+    /// The starts it names, by task.
     pub fn starts_by_task(&self) -> BTreeMap<u32, &StartRecord> {
         self.starts.iter().map(|start| (start.task, start)).collect()
     }
@@ -265,10 +299,12 @@
         started.max(done).unwrap_or(0)
     }
 
+    /// Number of tasks done.
     pub fn done_count(&self) -> u32 {
         self.done.iter().map(|&(a, b)| b - a + 1).sum()
     }
 
+    /// Notes that a task is done.
     pub fn mark_done(&mut self, task: u32) {
         if self.is_done(task) {
             return;
@@ -286,10 +322,13 @@
     }
 }
 
+/// What became of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
+    /// All its tasks have completed.
     #[serde(rename = "done")]
     Done,
+    /// Called off by its user, or with a job that it needs.
     #[serde(rename = "cancelled")]
     Cancelled,
 }
@@ -298,6 +337,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "StoredEnd", into = "StoredEnd")]
 pub struct EndRecord {
+    /// What became of it.
     pub outcome: Outcome,
     /// Time of day before which no user was told: whatever has to be over by some time after that can be
     /// counted from it, also by a controller that only reads it later.
@@ -305,10 +345,12 @@
 }
 
 impl EndRecord {
+    /// The outcome of a job all of whose tasks have completed.
     pub fn done() -> EndRecord {
         EndRecord { outcome: Outcome::Done, at: Micros::ZERO }
     }
 
+    /// The outcome of a job that was called off at that time of day.
     pub fn cancelled(at: Micros) -> EndRecord {
         EndRecord { outcome: Outcome::Cancelled, at }
     }
@@ -345,11 +387,13 @@
     }
 }
 
+/// A record as it is stored.
 pub fn to_value<T: Serialize>(value: &T) -> Value {
     // Our records hold text keys and plain numbers only, which always convert.
     Value::serialized(value).unwrap_or(Value::Null)
 }
 
+/// Reads a stored record; nothing if it has another form.
 pub fn from_value<T: DeserializeOwned>(value: &Value) -> Option<T> {
     value.deserialized().ok()
 }
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -24,6 +24,7 @@
 /// Never more than this part of the limit, which leaves something for takeovers.
 const MOST: f64 = 0.9;
 
+/// The changes that may go, and how many there may be in a second.
 #[derive(Debug)]
 pub struct Budget {
     limit: f64,
@@ -75,10 +76,12 @@
         self.level = (self.level + span * self.rate).min(self.burst);
     }
 
+    /// Counts changes by what they are for.
     pub fn count(&mut self, what: &'static str, changes: usize) {
         *self.counts.entry(what).or_default() += changes;
     }
 
+    /// Counts changes that were refused as conflicts.
     pub fn count_conflict(&mut self, what: &'static str, changes: usize) {
         *self.conflicts.entry(what).or_default() += changes;
     }
@@ -115,6 +118,7 @@
         !short && self.level >= self.burst * IDLE_LEVEL
     }
 
+    /// Takes changes that are sent off what may go.
     pub fn spend(&mut self, now: Micros, changes: usize) {
         self.refill(now);
         self.level -= changes as f64;
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -20,10 +20,14 @@
 /// Names somebody who waits for an answer.
 pub type Waiter = u64;
 
+/// What a user asks for.
 #[derive(Clone, Debug)]
 pub enum UserRequest {
+    /// To take a job.
     Submit(Box<Submission>),
+    /// How a job stands.
     Get(JobId),
+    /// To call a job off.
     Cancel(JobId),
 }
 
@@ -36,9 +40,12 @@
     Unknown,
 }
 
+/// How a transaction ended.
 #[derive(Clone, Debug)]
 pub enum TxnOutcome {
+    /// Carried out, at this revision.
     Committed(u64),
+    /// A condition did not hold, as of this revision.
     Conflict(u64),
     /// The session named in it has ended.
     NoLease,
@@ -46,16 +53,22 @@
     Invalid,
     /// Refused because the service's limit is reached.
     Limited,
+    /// No answer that tells.
     Failed(Failure),
 }
 
+/// How a read ended.
 #[derive(Clone, Debug)]
 pub enum ReadOutcome<T> {
+    /// With this.
     Got(T),
+    /// The service no longer has what happened since then.
     TooOld,
+    /// Without an answer, or refused.
     Failed,
 }
 
+/// What a read is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadKind {
     /// The long-standing watch.
@@ -64,74 +77,119 @@
     Fresh,
 }
 
+/// How a call about the session ended.
 #[derive(Clone, Debug)]
 pub enum LeaseOutcome {
+    /// A new one, by its number.
     New(u64),
+    /// It has its full time again.
     Touched,
+    /// It has ended.
     Gone,
+    /// Without an answer, or refused.
     Failed,
 }
 
+/// How a direct message to a worker ended.
 #[derive(Clone, Debug)]
 pub enum OrdersOutcome {
+    /// Executed; the worker's report after it.
     Done(Report),
     /// Nothing executed, but this is how the worker stands.
     Rejected(Report),
+    /// Without an answer that tells.
     Failed(Failure),
 }
 
+/// How a call to the cloud ended.
 #[derive(Clone, Debug)]
 pub enum CloudOutcome {
+    /// The types of machines.
     Types(MachineTypes),
+    /// A page of the list of machines.
     List(MachineList),
+    /// Machines that were rented.
     Rented(MachineNames),
+    /// None of this kind is to be had now.
     NoCapacity,
+    /// The machines and all on them are gone.
     Deleted,
+    /// Without an answer, or refused.
     Failed,
 }
 
+/// What the cloud is asked for.
 #[derive(Clone, Debug)]
 pub enum CloudCall {
+    /// The types of machines and their prices.
     Types,
-    List { after: Option<MachineId> },
+    /// A page of the list of machines.
+    List {
+        /// Begins after this machine.
+        after: Option<MachineId>,
+    },
+    /// To rent machines.
     Rent(Rental),
+    /// To delete machines.
     Delete(Vec<MachineId>),
 }
 
+/// What reaches the core.
 #[derive(Debug)]
 pub enum Command {
+    /// A user's request.
     User(Waiter, UserRequest),
     /// `relayed`: it came through a sibling, as the worker could not reach us itself.
     Report {
+        /// Who waits for the answer.
         waiter: Waiter,
+        /// What the worker says.
         report: Report,
+        /// Whether it came through a sibling.
         relayed: bool,
     },
+    /// A transaction has ended.
     Txn {
+        /// Which one.
         ticket: u64,
+        /// How.
         outcome: TxnOutcome,
     },
+    /// A read of changes has ended.
     Changes {
+        /// What it was for.
         kind: ReadKind,
+        /// How it ended.
         outcome: ReadOutcome<Changes>,
     },
+    /// A page of the first reading.
     Page(ReadOutcome<Page>),
+    /// A call about the session has ended.
     Lease(LeaseOutcome),
+    /// A direct message has ended.
     Orders {
+        /// To which machine it went.
         machine: MachineId,
+        /// How it ended.
         outcome: OrdersOutcome,
     },
+    /// A call to the cloud has ended.
     Cloud {
+        /// Which one.
         call: u64,
+        /// How.
         outcome: CloudOutcome,
     },
     /// A sibling tells of cancelled jobs.
     Peer(Waiter, Cancelled),
     /// What a sibling says that we told; nothing if no answer came.
     PeerAnswer {
+        /// Which notice it answers.
         call: u64,
+        /// What the sibling says.
         answer: Option<CancellationAck>,
     },
+    /// Time has passed.
     Tick,
 }
 
@@ -148,69 +206,109 @@
     }
 }
 
+/// What a user is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum UserAnswer {
+    /// The job is taken.
     Accepted(JobStatus),
+    /// How it stands.
     Status(JobStatus),
+    /// The request has no valid form.
     Malformed,
+    /// No machine or limit will ever allow it, and why.
     CanNeverRun(&'static str),
+    /// Never accepted.
     NotFound,
     /// Not now; the client is told when to come back.
     Unavailable {
+        /// When to ask again.
         retry_after_s: u32,
     },
 }
 
+/// What a worker is told in answer to its report.
 #[derive(Clone, Debug)]
 pub enum WorkerAnswer {
+    /// The report counts, and this is to be done.
     Orders(Orders),
+    /// To report to that controller, or to any other.
     Redirect(Option<String>),
+    /// Not now.
     Unavailable,
 }
 
+/// What the state service is asked for.
 #[derive(Clone, Debug)]
 pub enum StateCall {
     /// `urgent`: a user waits for it.
     Txn {
+        /// Names the answer.
         ticket: u64,
+        /// What is to be carried out.
         txn: Txn,
+        /// Whether a user waits.
         urgent: bool,
     },
+    /// What has changed.
     Changes {
+        /// What it is for.
         kind: ReadKind,
+        /// Since which revision.
         after: u64,
+        /// How long to wait for a change.
         wait_ms: u64,
     },
+    /// One page of all keys.
     Page {
+        /// Begins after this key.
         after: Option<String>,
     },
+    /// A new session.
     NewLease {
+        /// How long it lasts without renewal.
         ttl_ms: u64,
     },
+    /// The session's full time again.
     Touch {
+        /// Which one.
         lease: u64,
     },
 }
 
+/// What the core has carried out for it.
 #[derive(Clone, Debug)]
 pub enum Effect {
+    /// An answer to a user.
     AnswerUser(Waiter, UserAnswer),
+    /// An answer to a worker.
     AnswerWorker(Waiter, WorkerAnswer),
+    /// A call to the state service.
     State(StateCall),
+    /// A direct message to a worker.
     Orders {
+        /// Which machine.
         machine: MachineId,
+        /// Where its worker listens.
         addr: SocketAddr,
+        /// What it is told.
         orders: DirectOrders,
     },
+    /// A call to the cloud.
     Cloud {
+        /// Names the answer.
         call: u64,
+        /// What is asked for.
         request: CloudCall,
     },
     /// To the sibling of that label.
     Peer {
+        /// Names the answer.
         call: u64,
+        /// The sibling's label.
         to: String,
+        /// What it is told.
         message: Cancelled,
     },
+    /// An answer to a sibling.
     AnswerPeer(Waiter, CancellationAck),
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -60,6 +60,7 @@
     report: Report,
 }
 
+/// The state of one controller, and all its decisions.
 pub struct Core {
     platform: Arc<Platform>,
     policy: Arc<Policy>,
@@ -204,6 +205,7 @@
         self.now().since(self.state_heard) < patience
     }
 
+    /// Takes in one command. What it leads to comes with the next [`Core::round`].
     pub fn handle(&mut self, clock: Clock, command: Command) {
         let pause = clock.steady.since(self.clock.steady);
         self.clock = clock;
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -12,6 +12,7 @@
 /// How urgent a job is, by itself or for those that need it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Urgency {
+    /// Of the job, or of one that needs it.
     pub priority: Priority,
     /// Time of day by which it should be done.
     pub due: Option<Micros>,
--- a/src/coordination/usage.rs
+++ b/src/coordination/usage.rs
@@ -6,15 +6,20 @@
 use crate::units::{JobId, MachineId, Micros, Room};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// How far a start has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// Decided, not yet in the stored records; no command may leave.
     Decided,
     /// In the stored records; not yet seen on the machine.
     Recorded,
+    /// On the machine, waits for its image.
     Fetching,
+    /// On the machine, waits for the rest of its gang.
     Waiting,
+    /// On the machine, at work.
     Running,
+    /// On the machine, was told to stop and saves.
     Saving,
     /// Seen ended on the machine; to be taken out of the stored records.
     Ended(ExitCause),
@@ -28,6 +33,7 @@
         !matches!(self, Phase::Ended(_) | Phase::Gone)
     }
 
+    /// Whether a report has shown it on its machine, not ended.
     pub fn on_machine(self) -> bool {
         matches!(self, Phase::Fetching | Phase::Waiting | Phase::Running | Phase::Saving)
     }
@@ -36,8 +42,10 @@
 /// One start of a task, as far as it isn't proven gone and out of the stored records.
 #[derive(Clone, Debug)]
 pub struct Start {
+    /// Number of the attempt; 0 until it is recorded.
     pub attempt: u64,
     machine: MachineId,
+    /// The machine's session when it was decided.
     pub session: u64,
     phase: Phase,
     /// Grace to stop with, once it is to stop.
@@ -46,22 +54,27 @@
     pub sent: bool,
     /// Newest message of the worker that it might not yet have answered a command of ours to.
     pub seq: u64,
+    /// When it was first seen at work.
     pub running_since: Option<Micros>,
 }
 
 impl Start {
+    /// A start that nothing was said about yet.
     pub fn new(attempt: u64, machine: MachineId, session: u64, phase: Phase) -> Start {
         Start { attempt, machine, session, phase, stop: None, sent: false, seq: 0, running_since: None }
     }
 
+    /// How far it has come.
     pub fn phase(&self) -> Phase {
         self.phase
     }
 
+    /// Where it was started.
     pub fn machine(&self) -> &MachineId {
         &self.machine
     }
 
+    /// Whether it takes room on its machine and of its team's limit.
     pub fn occupies(&self) -> bool {
         self.phase.occupies()
     }
@@ -70,9 +83,11 @@
 /// What is on one machine by the stored records and by what was decided since.
 #[derive(Debug, Default, PartialEq)]
 pub struct Placed {
+    /// All of them, by job and task.
     pub starts: BTreeSet<(JobId, u32)>,
     /// Taken by those that occupy room.
     pub room: Room,
+    /// How many of them occupy room.
     pub occupying: u32,
     /// Of these those of services.
     pub services: u32,
@@ -90,10 +105,12 @@
 }
 
 impl Usage {
+    /// What is on a machine.
     pub fn placed(&self, machine: &MachineId) -> Option<&Placed> {
         self.machines.get(machine)
     }
 
+    /// The starts on a machine.
     pub fn starts_on(&self, machine: &MachineId) -> Vec<(JobId, u32)> {
         self.machines.get(machine).map(|p| p.starts.iter().cloned().collect()).unwrap_or_default()
     }
@@ -113,10 +130,12 @@
         self.machines.get(machine).is_some_and(|p| p.services > 0)
     }
 
+    /// Room taken on a machine.
     pub fn used_on(&self, machine: &MachineId) -> Room {
         self.machines.get(machine).map(|p| p.room).unwrap_or_default()
     }
 
+    /// Room that a team takes.
     pub fn used_by(&self, team: &str) -> Room {
         self.teams.get(team).copied().unwrap_or_default()
     }
@@ -156,20 +175,24 @@
 }
 
 impl JobStarts {
+    /// None yet, of that job.
     pub fn new(job: JobId, spec: &JobSpec) -> JobStarts {
         let team = spec.team.clone();
         let service = spec.kind == Kind::Service;
         JobStarts { job, room: spec.room(), team, service, map: BTreeMap::new(), occupying: 0, decided: 0 }
     }
 
+    /// A task's start.
     pub fn get(&self, task: u32) -> Option<&Start> {
         self.map.get(&task)
     }
 
+    /// The same, to be changed in what no sum depends on.
     pub fn get_mut(&mut self, task: u32) -> Option<&mut Start> {
         self.map.get_mut(&task)
     }
 
+    /// All of them, by task.
     pub fn iter(&self) -> impl Iterator<Item = (u32, &Start)> {
         self.map.iter().map(|(task, live)| (*task, live))
     }
@@ -179,14 +202,17 @@
         self.map.range(tasks).map(|(task, live)| (*task, live))
     }
 
+    /// All of them.
     pub fn values(&self) -> impl Iterator<Item = &Start> {
         self.map.values()
     }
 
+    /// The same, to be changed in what no sum depends on.
     pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Start> {
         self.map.values_mut()
     }
 
+    /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.map.is_empty()
     }
@@ -206,6 +232,7 @@
         self.map.len() as u32 - self.occupying
     }
 
+    /// Adds a task's start, in place of one it may have had.
     pub fn insert(&mut self, task: u32, live: Start, usage: &mut Usage) {
         self.remove(task, usage);
         usage.touched.insert(self.job.clone());
@@ -218,6 +245,7 @@
         self.map.insert(task, live);
     }
 
+    /// Takes a task's start out.
     pub fn remove(&mut self, task: u32, usage: &mut Usage) -> Option<Start> {
         let live = self.map.remove(&task)?;
         usage.touched.insert(self.job.clone());
@@ -235,6 +263,7 @@
         Some(live)
     }
 
+    /// Notes how far a start has come.
     pub fn set_phase(&mut self, task: u32, phase: Phase, usage: &mut Usage) {
         let Some(live) = self.map.get_mut(&task) else { return };
         let before = std::mem::replace(&mut live.phase, phase);
--- a/src/coordination/versions.rs
+++ b/src/coordination/versions.rs
@@ -15,7 +15,9 @@
 /// Who moves a machine out of a share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mover {
+    /// The controller that holds the share.
     Holder,
+    /// Whoever leads.
     Leader,
     /// Nobody until somebody has taken the share.
     Nobody,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,5 @@
+//! The daemon: command line, settings, logging; everything else is in the library.
+
 use burlhatch::settings::{Platform, Policy, SettingsError};
 use burlhatch::transport::daemon;
 use clap::{Parser, Subcommand};
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -13,8 +13,10 @@
 /// Limit of request bodies and of answers to users and workers.
 pub const BODY_LIMIT: usize = 64 * 1024;
 
+/// Why a body could not be read.
 #[derive(Debug, thiserror::Error)]
 pub enum WireError {
+    /// It is no CBOR, or of another form.
     #[error("not a valid message: {0}")]
     Malformed(String),
 }
@@ -25,6 +27,7 @@
     if body.is_empty() { Ok(value) } else { Err(WireError::Malformed("trailing bytes".into())) }
 }
 
+/// A message as it goes over the wire.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     let mut body = Vec::with_capacity(256);
     // Writing to a Vec can't fail and all our types have text keys.
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -6,24 +6,32 @@
 /// A request that reached a controller which can't serve it, passed on as it came.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Relay {
+    /// Where the request went.
     pub path: String,
+    /// Whether it is a POST; a GET otherwise.
     pub post: bool,
+    /// As it came.
     pub body: Vec<u8>,
 }
 
+/// Where notices of cancellations go.
 pub const CANCELLED_PATH: &str = "/cancelled";
 
 /// Jobs of one share that are surely cancelled, to whoever holds the share.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Cancelled {
+    /// Share that the jobs belong to.
     pub share: u32,
     /// The term under which the sender saw it held.
     pub term: u64,
+    /// The jobs.
     pub jobs: Vec<CancelledJob>,
 }
 
+/// One cancelled job.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct CancelledJob {
+    /// Its id.
     pub id: String,
     /// Time of day at which it was cancelled, in microseconds.
     pub at: u64,
@@ -35,12 +43,17 @@
 /// all tasks of the jobs end.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct CancellationAck {
+    /// Whether it holds the share.
     pub holds: bool,
 }
 
+/// The answer to a request that was passed on.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Relayed {
+    /// Status of the answer.
     pub status: u16,
+    /// When the caller should come back.
     pub retry_after_s: Option<u32>,
+    /// As it is to be returned.
     pub body: Vec<u8>,
 }
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -8,24 +8,33 @@
 const MAX_TASKS: u64 = 100_000;
 const MAX_TEXT: usize = 200;
 
+/// Shape of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
+    /// Independent tasks, each runs to completion.
     #[serde(rename = "array")]
     Array,
+    /// All tasks run at the same time or none does.
     #[serde(rename = "ensemble")]
     Gang,
+    /// Tasks run until the job is cancelled.
     #[serde(rename = "daemon")]
     Service,
 }
 
+/// Which work goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Priority {
+    /// Whenever there is room.
     #[serde(rename = "low")]
     Low,
+    /// As a rule.
     #[serde(rename = "standard")]
     Normal,
+    /// Before ordinary work.
     #[serde(rename = "high")]
     High,
+    /// Before all other.
     #[serde(rename = "prod")]
     Production,
 }
@@ -33,40 +42,59 @@
 /// A job as submitted. The wire's names double as the stored ones.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
+    /// Class that aims are stated for.
     #[serde(rename = "lot")]
     pub class: String,
+    /// Team whose guarantee and limit apply.
     #[serde(rename = "crew", default, skip_serializing_if = "Option::is_none")]
     pub team: Option<String>,
+    /// Its shape.
     #[serde(rename = "shape")]
     pub kind: Kind,
+    /// Which work it goes before.
     #[serde(rename = "rank")]
     pub priority: Priority,
+    /// Number of tasks.
     #[serde(rename = "pieces")]
     pub tasks: u32,
+    /// Processors of each task.
     #[serde(rename = "cores", deserialize_with = "number")]
     pub cpus: f64,
+    /// GPUs of each task.
     #[serde(deserialize_with = "number")]
     pub gpus: f64,
+    /// Memory of each task.
     #[serde(deserialize_with = "number")]
     pub memory_gb: f64,
+    /// Image that a machine must have first.
     #[serde(rename = "bundle")]
     pub image: String,
+    /// Size of the image.
     #[serde(rename = "pull_gb", deserialize_with = "number")]
     pub image_gb: f64,
+    /// Allowed types of machines, or any.
     #[serde(rename = "hulls", default, skip_serializing_if = "Option::is_none")]
     pub types: Option<Vec<String>>,
+    /// The only allowed zone, or any.
     #[serde(rename = "berth", default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<String>,
+    /// All tasks must be in one zone.
     pub one_zone: bool,
+    /// At most half of the tasks may be in one zone.
     pub spread: bool,
+    /// Whether it may run on machines that may be taken back at any moment.
     #[serde(rename = "driftwood")]
     pub spot: bool,
+    /// The owner's estimate of a task's run time.
     #[serde(rename = "expect_s", deserialize_with = "number")]
     pub estimate_s: f64,
+    /// Interval after which a task saves; 0 for never.
     #[serde(rename = "stow_every_s", deserialize_with = "number")]
     pub checkpoint_s: f64,
+    /// Time it needs to save when it is stopped.
     #[serde(rename = "stow_s", deserialize_with = "number")]
     pub save_s: f64,
+    /// When it should be complete, from its submission.
     #[serde(rename = "due_s", default, deserialize_with = "maybe_number", skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
     /// Jobs that have to be done before any of its tasks starts, each once.
@@ -86,10 +114,12 @@
 }
 
 impl JobSpec {
+    /// What each task takes of its machine.
     pub fn room(&self) -> Room {
         Room::new(self.cpus, self.gpus, self.memory_gb)
     }
 
+    /// The owner's estimate of a task's run time.
     pub fn estimate(&self) -> Micros {
         Micros::from_secs_f64(self.estimate_s)
     }
@@ -136,10 +166,13 @@
 /// A submission as far as it could be read: a known id is answered whatever the rest holds.
 #[derive(Clone, Debug)]
 pub struct Submission {
+    /// The job's id, if it is a valid one.
     pub id: Option<JobId>,
+    /// The job, if it is described in full.
     pub spec: Option<JobSpec>,
 }
 
+/// Reads a submission as far as it can be read.
 pub fn submission(body: &[u8]) -> Submission {
     #[derive(Deserialize)]
     struct OnlyId {
@@ -151,30 +184,42 @@
     Submission { id, spec }
 }
 
+/// How a job stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum JobState {
+    /// No task is running.
     #[serde(rename = "queued")]
     Queued,
+    /// Some task is.
     #[serde(rename = "running")]
     Running,
+    /// All tasks have completed.
     #[serde(rename = "done")]
     Done,
+    /// Called off.
     #[serde(rename = "withdrawn")]
     Cancelled,
 }
 
+/// What a user is told of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct JobStatus {
+    /// The job.
     pub id: JobId,
+    /// How it stands.
     #[serde(rename = "status")]
     pub state: JobState,
+    /// Tasks done.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub done: Option<u32>,
+    /// Tasks running.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub running: Option<u32>,
 }
 
+/// Why a request is refused.
 #[derive(Serialize)]
 pub struct Refusal<'a> {
+    /// In a few words.
     pub error: &'a str,
 }
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -4,101 +4,144 @@
 use crate::units::{MachineId, Term};
 use serde::{Deserialize, Serialize};
 
+/// How far a task on a machine has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskState {
+    /// Waits for its image.
     #[serde(rename = "pulling")]
     Fetching,
+    /// Waits for the rest of its gang.
     #[serde(rename = "waiting")]
     Waiting,
+    /// At work.
     #[serde(rename = "running")]
     Running,
+    /// Was told to stop and saves.
     #[serde(rename = "saving")]
     Saving,
+    /// Ended.
     #[serde(rename = "ended")]
     Exited,
 }
 
+/// Why a task ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ExitCause {
+    /// Completed.
     #[serde(rename = "done")]
     Done,
+    /// Stopped by command.
     #[serde(rename = "halted")]
     Stopped,
+    /// Another task of its gang is gone.
     #[serde(rename = "peers")]
     Peers,
+    /// Its gang was not complete in time.
     #[serde(rename = "alone")]
     Alone,
+    /// Failed.
     #[serde(rename = "error")]
     Error,
+    /// Refused: not enough room.
     #[serde(rename = "no_room")]
     NoRoom,
+    /// Refused: the task is there with another attempt.
     #[serde(rename = "busy")]
     Busy,
+    /// Refused, or ended for a reason not known here.
     #[serde(rename = "unknown", other)]
     Unknown,
 }
 
+/// A task as its worker reports it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReportedTask {
+    /// Job and index.
     #[serde(rename = "piece")]
     pub task: String,
+    /// Number of the attempt.
     #[serde(rename = "try")]
     pub attempt: u64,
+    /// How far it has come.
     #[serde(rename = "status")]
     pub state: TaskState,
+    /// Why it ended, if it has.
     #[serde(rename = "cause", default, skip_serializing_if = "Option::is_none")]
     pub why: Option<ExitCause>,
+    /// Whether its progress was saved.
     #[serde(rename = "stored", default, skip_serializing_if = "Option::is_none")]
     pub saved: Option<bool>,
 }
 
+/// A worker's account of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
+    /// Its machine.
     #[serde(rename = "host")]
     pub machine: MachineId,
+    /// Where it listens.
     #[serde(default)]
     pub addr: Option<String>,
+    /// Type of the machine.
     #[serde(rename = "hull")]
     pub machine_type: String,
+    /// Zone of the machine.
     #[serde(rename = "berth")]
     pub zone: String,
+    /// Whether the machine may be taken back at any moment.
     #[serde(rename = "driftwood", default)]
     pub spot: bool,
+    /// Begins anew each time its lease runs out.
     #[serde(rename = "watch")]
     pub session: u64,
+    /// Number of the message in its session.
     #[serde(rename = "tally")]
     pub seq: u64,
+    /// Highest token it has seen.
     #[serde(rename = "helm", default)]
     pub token: Term,
+    /// Time until the cloud takes the machine.
     #[serde(rename = "warning_s", default, deserialize_with = "maybe_number")]
     pub notice_s: Option<f64>,
+    /// All tasks on the machine.
     #[serde(rename = "pieces", default, deserialize_with = "list")]
     pub tasks: Vec<ReportedTask>,
 }
 
+/// A command to a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "verb")]
 pub enum Order {
+    /// Starts a task.
     #[serde(rename = "launch")]
     Start {
+        /// Job and index.
         #[serde(rename = "piece")]
         task: String,
+        /// Number of the attempt.
         #[serde(rename = "try")]
         attempt: u64,
     },
+    /// Stops a task.
     #[serde(rename = "stop")]
     Stop {
+        /// Job and index.
         #[serde(rename = "piece")]
         task: String,
+        /// Number of the attempt.
         #[serde(rename = "try")]
         attempt: u64,
+        /// Time it has to save.
         #[serde(rename = "leeway_s")]
         grace_s: f64,
     },
+    /// Takes an ended task off the reports.
     #[serde(rename = "reap")]
     Forget {
+        /// Job and index.
         #[serde(rename = "piece")]
         task: String,
+        /// Number of the attempt.
         #[serde(rename = "try")]
         attempt: u64,
     },
@@ -107,24 +150,30 @@
 /// The answer to a report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Orders {
+    /// Right to give commands.
     #[serde(rename = "helm")]
     pub token: Term,
+    /// In this order.
     pub orders: Vec<Order>,
 }
 
 /// Commands straight to a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DirectOrders {
+    /// Right to give commands.
     #[serde(rename = "helm")]
     pub token: Term,
+    /// Session that it is meant for.
     #[serde(rename = "watch")]
     pub session: u64,
+    /// In this order.
     pub orders: Vec<Order>,
 }
 
 /// Sends the worker to another controller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Redirect {
+    /// Label of the controller to report to.
     #[serde(rename = "harbour", skip_serializing_if = "Option::is_none")]
     pub report_to: Option<String>,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,14 +5,33 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Why settings can't be taken.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
     #[error("{path}: {source}")]
-    Read { path: String, source: std::io::Error },
+    /// A file can't be read.
+    Read {
+        /// Which file.
+        path: String,
+        /// Why not.
+        source: std::io::Error,
+    },
     #[error("{path}: {message}")]
-    Parse { path: String, message: String },
+    /// A file has another form.
+    Parse {
+        /// Which file.
+        path: String,
+        /// What is wrong with it.
+        message: String,
+    },
     #[error("{field}: {message}")]
-    Invalid { field: String, message: String },
+    /// A value is impossible.
+    Invalid {
+        /// Of which field.
+        field: String,
+        /// Why.
+        message: String,
+    },
 }
 
 fn invalid(field: impl Into<String>, message: impl Into<String>) -> SettingsError {
@@ -22,94 +41,145 @@
 /// The file the platform hands over. Unknown fields are ignored.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Platform {
+    /// Name of this controller.
     pub label: String,
+    /// Its zone.
     #[serde(default)]
     pub site: String,
+    /// Where users, workers and health checks reach it.
     pub public_addr: SocketAddr,
+    /// Where siblings reach it.
     pub back: SocketAddr,
+    /// The other controllers.
     #[serde(default)]
     pub siblings: Vec<Sibling>,
+    /// Services that it uses.
     pub external: External,
+    /// What it is to serve.
     pub deployment: Deployment,
 }
 
+/// Another controller.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Sibling {
+    /// Its name.
     pub label: String,
+    /// Its zone.
     #[serde(default)]
     pub site: String,
+    /// Where it is reached.
     pub address: SocketAddr,
 }
 
+/// Services outside.
 #[derive(Clone, Debug, Deserialize)]
 pub struct External {
+    /// Where machines are rented.
     pub cloud: SocketAddr,
+    /// Where all that must outlive a process is kept.
     pub state: SocketAddr,
 }
 
+/// What the controllers serve together.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Deployment {
+    /// Number of controllers.
     pub nodes: u32,
+    /// All zones.
     #[serde(default)]
     pub zones: Vec<String>,
+    /// Bound of the time of day's error.
     #[serde(default)]
     pub time_bound_ms: f64,
+    /// Teams with their guarantees and limits.
     #[serde(default)]
     pub teams: Vec<Team>,
+    /// What users expect.
     #[serde(default)]
     pub objectives: Vec<Objective>,
+    /// Times of the workers' protocol.
     pub workers: Workers,
+    /// Limits of the state service.
     pub state: StateLimits,
+    /// Limits of the cloud.
     pub cloud: CloudLimits,
+    /// What a controller may use.
     pub quota: Quota,
 }
 
+/// A team; amounts of 0 mean none.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Team {
+    /// Its name.
     pub name: String,
+    /// Guaranteed processors.
     #[serde(default)]
     pub cpus: f64,
+    /// Most processors at a time.
     #[serde(default)]
     pub cpus_max: f64,
+    /// Guaranteed GPUs.
     #[serde(default)]
     pub gpus: f64,
+    /// Most GPUs at a time.
     #[serde(default)]
     pub gpus_max: f64,
 }
 
+/// An aim, as users state it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Objective {
+    /// What is aimed at.
     pub kind: String,
+    /// For which class of jobs.
     pub class: Option<String>,
+    /// Within which time.
     pub within_s: Option<f64>,
+    /// For which part of them.
     pub share: Option<f64>,
 }
 
+/// Times of the workers' protocol.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Workers {
+    /// Between two reports.
     pub report_s: f64,
+    /// Without an answered report for so long a worker ends its tasks.
     pub lease_s: f64,
+    /// A gang's task waits so long for the others.
     pub gang_wait_s: f64,
+    /// Gang tasks notice within this that one is gone.
     pub gang_peer_s: f64,
+    /// Within this all tasks of a cancelled job have to be gone.
     pub cancel_s: f64,
 }
 
+/// Limits of the state service.
 #[derive(Clone, Debug, Deserialize)]
 pub struct StateLimits {
+    /// Requests a second.
     pub rps: f64,
+    /// Changes a second.
     pub write_rps: f64,
+    /// Size of a value.
     pub value_kb: f64,
+    /// Changes in a transaction.
     pub txn_ops: usize,
     /// What some of these become at a moment that nobody announces.
     #[serde(default)]
     pub next: Option<NextLimits>,
 }
 
+/// Limits that come later.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct NextLimits {
+    /// Requests a second.
     pub rps: Option<f64>,
+    /// Changes a second.
     pub write_rps: Option<f64>,
+    /// Size of a value.
     pub value_kb: Option<f64>,
+    /// Changes in a transaction.
     pub txn_ops: Option<usize>,
 }
 
@@ -136,27 +206,36 @@
         (self.least_value_kb() * 1024.0 * VALUE_PART) as usize
     }
 
+    /// Requests a second, now and later.
     pub fn least_rps(&self) -> f64 {
         self.next(|n| n.rps).map_or(self.rps, |next| next.min(self.rps))
     }
 
+    /// Changes a second, now and later.
     pub fn least_write_rps(&self) -> f64 {
         self.next(|n| n.write_rps).map_or(self.write_rps, |next| next.min(self.write_rps))
     }
 }
 
+/// Limits of the cloud.
 #[derive(Clone, Debug, Deserialize)]
 pub struct CloudLimits {
+    /// Requests a second.
     pub rps: f64,
+    /// Time by which its list may be late.
     pub list_lag_s: f64,
 }
 
+/// What a controller may use.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Quota {
+    /// Part of a core.
     #[serde(default)]
     pub cpu: f64,
+    /// Memory.
     #[serde(default)]
     pub mem_mb: f64,
+    /// Sockets and files.
     pub fd_limit: usize,
 }
 
@@ -186,12 +265,14 @@
         (together / f64::from(self.nodes.max(1))).min(0.9)
     }
 
+    /// A team by its name.
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == name)
     }
 }
 
 impl Platform {
+    /// Reads and checks the file.
     pub fn load(path: &Path) -> Result<Platform, SettingsError> {
         let shown = path.display().to_string();
         let text =
@@ -202,6 +283,7 @@
         })
     }
 
+    /// Reads and checks its text.
     pub fn parse(text: &str) -> Result<Platform, SettingsError> {
         let platform: Platform = toml::from_str(text)
             .map_err(|e| SettingsError::Parse { path: "settings".into(), message: e.to_string().trim().to_string() })?;
@@ -453,6 +535,7 @@
 }
 
 impl Policy {
+    /// Reads and checks the file.
     pub fn load(path: &Path) -> Result<Policy, SettingsError> {
         let shown = path.display().to_string();
         let text =
@@ -463,6 +546,7 @@
         Ok(policy)
     }
 
+    /// The JSON schema of all settings.
     pub fn schema() -> String {
         let schema = schemars::schema_for!(Policy);
         let mut text = serde_json::to_string_pretty(&schema).unwrap_or_default();
--- a/src/transport/calls.rs
+++ b/src/transport/calls.rs
@@ -36,6 +36,7 @@
 }
 
 impl Services {
+    /// Calls to the services that the settings name.
     pub fn new(platform: &Platform, policy: &Policy, client: Client) -> Services {
         let limits = &platform.deployment;
         let part = limits.part_of_limit(policy.state_limits_together);
@@ -67,6 +68,7 @@
         self.client.call(self.state, method, path, body, limit).await
     }
 
+    /// Calls the state service; what the core hears of it.
     pub async fn state(&self, call: StateCall) -> Command {
         match call {
             StateCall::Txn { ticket, txn, urgent } => {
@@ -139,6 +141,7 @@
         }
     }
 
+    /// Sends a direct message to a worker; what the core hears of it.
     pub async fn orders(&self, machine: MachineId, addr: SocketAddr, orders: DirectOrders) -> Command {
         let empty = orders.orders.is_empty();
         let limit = if empty { self.probe_limit } else { ORDERS_LIMIT };
@@ -157,6 +160,7 @@
         Command::Orders { machine, outcome }
     }
 
+    /// Calls the cloud; what the core hears of it.
     pub async fn cloud(&self, call: u64, request: CloudCall) -> Command {
         let outcome = self.cloud_outcome(request).await;
         Command::Cloud { call, outcome }
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -26,6 +26,7 @@
 /// Larger than any answer a well-behaved service gives.
 const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
 
+/// An HTTP client that keeps connections.
 #[derive(Clone)]
 pub struct Client {
     idle: Arc<Mutex<Idle>>,
@@ -91,10 +92,14 @@
     }
 }
 
+/// An answer as it came.
 #[derive(Debug)]
 pub struct Answer {
+    /// Its status.
     pub status: u16,
+    /// When to come back, if that was said.
     pub retry_after_s: Option<u32>,
+    /// Its body.
     pub body: Bytes,
 }
 
--- a/src/transport/limits.rs
+++ b/src/transport/limits.rs
@@ -8,8 +8,11 @@
 /// The more important may use up what the others must leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
+    /// Renewals of the session: always first.
     Renewal,
+    /// Changes.
     Transaction,
+    /// Whatever else is read.
     Read,
 }
 
@@ -34,6 +37,7 @@
 }
 
 impl Bucket {
+    /// That many in a second, and so many at once.
     pub fn new(rate: f64, burst: f64) -> Bucket {
         Bucket { rate, burst, level: burst, at: Micros::ZERO }
     }
@@ -52,12 +56,14 @@
     }
 }
 
+/// A bucket that calls wait for.
 pub struct Limiter {
     bucket: Mutex<Bucket>,
     began: Instant,
 }
 
 impl Limiter {
+    /// That many in a second, and so many at once.
     pub fn new(rate: f64, burst: f64) -> Limiter {
         Limiter { bucket: Mutex::new(Bucket::new(rate, burst)), began: Instant::now() }
     }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -27,20 +27,27 @@
 
 /// A user's request for the owner of all state, with the way back.
 pub struct UserAsk {
+    /// What the user asks for.
     pub request: UserRequest,
+    /// Where the answer goes.
     pub back: oneshot::Sender<UserAnswer>,
 }
 
 /// A worker's report for the owner of all state, with the way back.
 pub struct WorkerAsk {
+    /// What the worker says.
     pub report: Report,
+    /// Whether it came through a sibling.
     pub relayed: bool,
+    /// Where the answer goes.
     pub back: oneshot::Sender<WorkerAnswer>,
 }
 
 /// What a sibling tells, with the way back.
 pub struct PeerAsk {
+    /// What the sibling tells.
     pub message: Cancelled,
+    /// Where the answer goes.
     pub back: oneshot::Sender<CancellationAck>,
 }
 
@@ -90,6 +97,7 @@
 pub struct Standing {
     /// It has read the stored records.
     pub ready: AtomicBool,
+    /// Whether the state service serves this controller.
     pub reaches_state: AtomicBool,
     /// Only this controller can't reach the state service, so users had better go elsewhere.
     alone: AtomicBool,
@@ -144,13 +152,21 @@
     bitcode::decode(&answer.body).ok()
 }
 
+/// What all connections share.
 pub struct Gate {
+    /// Workers that come back although they were sent elsewhere.
     pub bounces: Bounces,
+    /// Users' requests.
     pub users: mpsc::Sender<UserAsk>,
+    /// Workers' reports.
     pub workers: mpsc::Sender<WorkerAsk>,
+    /// Siblings' messages.
     pub peers: mpsc::Sender<PeerAsk>,
+    /// How this controller stands.
     pub standing: Standing,
+    /// The other controllers, by label.
     pub siblings: Vec<(String, SocketAddr)>,
+    /// For what is passed on to them.
     pub client: Client,
 }
 
--- a/src/units.rs
+++ b/src/units.rs
@@ -10,8 +10,10 @@
 pub struct Micros(pub u64);
 
 impl Micros {
+    /// None.
     pub const ZERO: Micros = Micros(0);
 
+    /// So many milliseconds.
     pub const fn from_millis(ms: u64) -> Micros {
         Micros(ms * 1_000)
     }
@@ -21,10 +23,12 @@
         if s.is_finite() && s > 0.0 { Micros((s * 1e6).min(1e18) as u64) } else { Micros(0) }
     }
 
+    /// In seconds.
     pub fn secs(self) -> f64 {
         self.0 as f64 / 1e6
     }
 
+    /// Whole milliseconds.
     pub fn millis(self) -> u64 {
         self.0 / 1_000
     }
@@ -65,9 +69,11 @@
         pub struct $name(Arc<str>);
 
         impl $name {
+            /// From its text.
             pub fn new(text: &str) -> $name {
                 $name(Arc::from(text))
             }
+            /// Its text.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
@@ -105,11 +111,14 @@
 /// One task of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
+    /// Its job.
     pub job: JobId,
+    /// Its number in the job.
     pub index: u32,
 }
 
 impl TaskId {
+    /// Reads it as the wire has it.
     pub fn parse(text: &str) -> Option<TaskId> {
         let (job, index) = text.rsplit_once('/')?;
         Some(TaskId { job: JobId::new(job), index: index.parse().ok()? })
@@ -125,25 +134,32 @@
 /// What a task takes or a machine has, in millionths, so that sums are exact.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Room {
+    /// Millionths of a processor.
     pub cpus: u64,
+    /// Millionths of a GPU.
     pub gpus: u64,
+    /// Millionths of a GB.
     pub memory: u64,
 }
 
 impl Room {
+    /// From amounts as messages have them.
     pub fn new(cpus: f64, gpus: f64, memory_gb: f64) -> Room {
         let units = |x: f64| if x.is_finite() && x > 0.0 { (x * 1e6).round().min(1e15) as u64 } else { 0 };
         Room { cpus: units(cpus), gpus: units(gpus), memory: units(memory_gb) }
     }
 
+    /// Whether another has as much of everything.
     pub fn fits_in(&self, other: &Room) -> bool {
         self.cpus <= other.cpus && self.gpus <= other.gpus && self.memory <= other.memory
     }
 
+    /// Both together.
     pub fn plus(&self, o: &Room) -> Room {
         Room { cpus: self.cpus + o.cpus, gpus: self.gpus + o.gpus, memory: self.memory + o.memory }
     }
 
+    /// What is left of it; nothing at the least.
     pub fn minus(&self, o: &Room) -> Room {
         Room {
             cpus: self.cpus.saturating_sub(o.cpus),
@@ -152,6 +168,7 @@
         }
     }
 
+    /// So many times as much.
     pub fn times(&self, n: u64) -> Room {
         Room { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
     }
