Room in full chunks is recorded before progress; a start's size in a chunk is counted, not estimated

After the limits drop a chunk names some 70 of its 128 tasks; starts that have ended keep their place until they are recorded, and as no start can be added, that counted as progress, which may wait 60 s. It is a need of its own now, and sizes are exact, so that a chunk names some 85.

--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -41,6 +41,8 @@
     pub ready: Micros,
     /// Its own, or that of jobs which need it.
     pub urgency: Urgency,
+    /// Tasks of it wait although there may be room, as its chunks can name no more starts.
+    pub blocked: bool,
     /// Its records are larger than may be written; looked at again then.
     pub too_large_until: Micros,
 }
@@ -68,6 +70,7 @@
             held: false,
             ready: record.accepted,
             urgency: record.urgency(),
+            blocked: false,
             too_large_until: Micros::ZERO,
         }
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -256,7 +256,11 @@
         // Locked jobs are left alone while a transaction is on its way, so one takes all it can.
         loop {
             let Some(job) = self.jobs.get(id) else { return };
-            let Some(task) = job.next_task(now, self.chunk_tasks, |chunk| self.chunk_has_room(id, job, chunk)) else {
+            let next = job.next_task(now, self.chunk_tasks, |chunk| self.chunk_has_room(id, job, chunk));
+            let Some(task) = next else {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.blocked = job.waiting() > 0;
+                }
                 return;
             };
             if !self.within_limit(job) {
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -173,10 +173,11 @@
     /// Tasks whose records lack something. Chunks that lack nothing but tasks done are left for a while when others
     /// of the job press.
     fn tasks_to_record(&mut self, now: Micros, chunk_tasks: u32, progress_patience: Micros) -> Vec<u32> {
-        let all = matches!(Need::of(self), None | Some(Need::Outcome | Need::Progress))
+        let all = matches!(Need::of(self), None | Some(Need::Outcome | Need::Room | Need::Progress))
             || self.progress_since.is_some_and(|since| now.since(since) >= progress_patience);
         if all {
             self.progress_since = None;
+            self.blocked = false;
         }
         let pressing = |live: &Start| live.phase() == Phase::Decided || is_lost(live);
         let pressed: BTreeSet<u32> =
@@ -257,13 +258,17 @@
             };
             let since = *job.dirty_since.get_or_insert(now);
             // What an urgent job waits for is over no sooner than its outcome is in the stored records.
-            let need_soon = if need == Need::Outcome && job.is_urgent() { Need::Urgent } else { need };
+            let need_soon = match need {
+                Need::Outcome if job.is_urgent() => Need::Urgent,
+                Need::Room if job.is_urgent() => Need::Outcome,
+                need => need,
+            };
             let latest = since + Micros::from_millis(need_soon.patience_ms(&self.policy));
             // What can wait goes when there is nothing better to do, or with company. Where machines are
             // full batch tasks start one by one as others end; each alone would cost a change.
             let waits = match need {
                 Need::Progress => now.since(since) < delay || (!idle && now < latest),
-                Need::Batch => !idle && now.since(since) < batch_delay,
+                Need::Batch | Need::Room => !idle && now.since(since) < batch_delay,
                 Need::Urgent | Need::Outcome => false,
             };
             if waits {
@@ -395,6 +400,8 @@
     Urgent,
     /// Its outcome, which its user waits for.
     Outcome,
+    /// Room in its chunks, which ended starts take that are still recorded, for tasks that wait.
+    Room,
     /// A start, or a lost place, of batch work.
     Batch,
     /// Tasks done while others go on; nobody waits for it.
@@ -413,6 +420,9 @@
         if job.live.decided() > 0 || (job.live.settled() > 0 && job.live.values().any(is_lost)) {
             return Some(if urgent { Need::Urgent } else { Need::Batch });
         }
+        if job.blocked && job.live.settled() > 0 && job.waiting() > 0 {
+            return Some(Need::Room);
+        }
         (job.live.settled() > 0 || job.dirty_since == Some(Micros::ZERO)).then_some(Need::Progress)
     }
 
@@ -420,6 +430,7 @@
         match self {
             Need::Urgent => "urgent starts",
             Need::Outcome => "outcomes",
+            Need::Room => "room for starts",
             Need::Batch => "batch starts",
             Need::Progress => "progress",
         }
@@ -429,7 +440,7 @@
         match self {
             Need::Urgent => policy.urgent_patience_ms,
             Need::Outcome => policy.outcome_patience_ms,
-            Need::Batch => policy.batch_patience_ms,
+            Need::Room | Need::Batch => policy.batch_patience_ms,
             Need::Progress => policy.progress_patience_ms,
         }
     }
--- a/src/coordination/stages.rs
+++ b/src/coordination/stages.rs
@@ -13,11 +13,19 @@
 use crate::protocol::user::{JobSpec, Priority};
 use crate::units::{JobId, Micros};
 
-/// Bytes of a run chunk besides its starts and ranges, and of a start and a range besides the task's number.
-const CHUNK_BYTES: usize = 64;
-const START_BYTES: usize = 24;
+/// Bytes of a run chunk besides its starts and ranges: field names, attempts so far, and the write's number.
+const CHUNK_BYTES: usize = 60;
+/// Bytes of a start besides its numbers and its machine's name, and of a range besides its two numbers.
+const START_BYTES: usize = 8;
 const RANGE_BYTES: usize = 4;
 
+/// Bytes of a machine's name and session, as far as they aren't known yet.
+const MACHINE_BYTES: usize = 12;
+
+fn digits(number: u64) -> usize {
+    number.max(1).ilog10() as usize + 1
+}
+
 impl Core {
     /// What became of a job, whether its own key says so or that of one it needs.
     pub(super) fn outcome(&self, id: &JobId) -> Option<Outcome> {
@@ -151,11 +159,20 @@
     /// ends leaves a range at most, which is shorter.
     pub(super) fn chunk_has_room(&self, id: &JobId, job: &Job, chunk: u32) -> bool {
         let tasks = chunk * self.chunk_tasks..(chunk + 1).saturating_mul(self.chunk_tasks);
-        let starts = job.live.range(tasks).count();
-        let digits = job.spec.tasks.max(10).ilog10() as usize + 1;
         let stored = self.replica.runs.get(id).and_then(|chunks| chunks.get(&chunk));
+        let (mut starts, mut longest_start) = (0, 0);
+        // One that is decided gets one of the next attempts.
+        let attempts = stored.map_or(0, |c| c.value.attempts) + u64::from(self.chunk_tasks);
+        for (task, live) in job.live.range(tasks) {
+            let numbers = digits(u64::from(task)) + digits(live.attempt.max(attempts)) + digits(live.session);
+            let size = START_BYTES + numbers + live.machine().as_str().len();
+            starts += size;
+            longest_start = longest_start.max(size);
+        }
+        let index_digits = digits(u64::from(job.spec.tasks));
+        let next_start = longest_start.max(START_BYTES + index_digits + digits(attempts) + MACHINE_BYTES);
         let ranges = stored.map_or(0, |c| c.value.done.len());
-        let size = CHUNK_BYTES + (starts + 1) * (START_BYTES + digits) + ranges * (RANGE_BYTES + 2 * digits);
+        let size = CHUNK_BYTES + starts + next_start + ranges * (RANGE_BYTES + 2 * index_digits);
         size <= self.platform.deployment.state.value_bytes()
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -184,7 +184,7 @@
 }
 
 /// Part of the allowed size that a value is filled to.
-const VALUE_PART: f64 = 0.95;
+const VALUE_PART: f64 = 0.97;
 
 impl StateLimits {
     fn next<T: Copy>(&self, of: impl Fn(&NextLimits) -> Option<T>) -> Option<T> {
--- a/tests/rules/pipelines.rs
+++ b/tests/rules/pipelines.rs
@@ -288,3 +288,25 @@
         finish(&mut world, &format!("limits {seed}"));
     }
 }
+
+/// Guards against tasks that wait for tens of seconds beside free machines: a chunk can name only as many starts as a
+/// small value takes, and those that have ended take room until they are recorded as done. That is recorded before
+/// ordinary progress, which may wait much longer.
+#[test]
+fn ended_starts_leave_full_chunks_for_tasks_that_wait() {
+    let policy = Policy { record_delay_ms: 60_000, progress_patience_ms: 120_000, ..Policy::default() };
+    let mut world = World::sized(79, policy, Size { machines: 30, capacity: 30, write_rps: 9.0, ..LARGE });
+    world.lower_limits_at(2 * S, 2048, 4, 9.0);
+    world.run_for(15 * S);
+    ordinary_jobs(&mut world, 40);
+    let mut spec = World::spec(Kind::Array, "green", 128, 0.1);
+    spec.estimate_s = 6.0;
+    let id = world.submit(500, spec);
+    let began = world.now;
+    while world.jobs[&id].told.is_none() && world.now < began + 300 * S {
+        world.run_for(S);
+    }
+    let took = (world.now - began) / S;
+    assert!(took < 45, "128 tasks of some 6 s took {took} s beside free machines");
+    finish(&mut world, "full chunks");
+}
