Jobs come into the replica only as the records bring them, not with the own commit

Cause: two controllers may take the same submission, with something else in it, and the earlier batch counts. The one that wrote the later one heard of its own commit first, built the job and its place in a pipeline from that, and kept to it after the earlier batch was read. Until a batch is read, the controller that wrote it answers for its jobs from the commit.

--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -42,6 +42,11 @@
         Evidence { begun, revision }
     }
 
+    /// The revision that the call was answered with.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// The revision that the stored records had after the question came, if the call left after it.
     pub fn revision_after(&self, asked: LogicalTime) -> Option<Revision> {
         (asked < self.begun).then_some(self.revision)
--- a/src/coordination/reads.rs
+++ b/src/coordination/reads.rs
@@ -207,6 +207,7 @@
     fn take_changes(&mut self, begun: LogicalTime, changes: &Changes) {
         let revision = Revision(changes.revision);
         let changed = self.replica.advance(&changes.events, revision);
+        self.users.submissions.reached(self.replica.applied);
         self.changed(changed);
         self.txns_read();
         self.read_proves(&Evidence::new(begun, revision));
--- a/src/coordination/submissions.rs
+++ b/src/coordination/submissions.rs
@@ -2,6 +2,9 @@
 //!
 //! Who repeats a submission waits with those who sent it before. The batch's commit answers whoever asked before the
 //! batch was sent; whoever came later needs evidence of their own.
+//!
+//! A job comes into the replica only as the records bring it, not with the own commit: another controller may have taken
+//! the same submission, perhaps with something else in it, in an earlier batch that was not read yet. The earlier counts.
 
 use super::evidence::Fresh;
 use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose, TxnEnd};
@@ -9,7 +12,7 @@
 use super::{Core, UserAnswer, Waiter};
 use crate::bookkeeping::schema::{BatchMember, JobRecord, Key, to_value};
 use crate::protocol::user::{JobSpec, Kind, Submission};
-use crate::units::{JobId, Micros, Room};
+use crate::units::{JobId, Micros, Revision, Room};
 use std::collections::{HashMap, VecDeque};
 
 /// Part of the allowed size that a value of several entries is filled to.
@@ -28,6 +31,14 @@
     TooLarge,
 }
 
+/// A job in a batch on its way.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Submitted {
+    pub id: JobId,
+    /// Whether its outcome may follow from other jobs'.
+    pub awaits_others: bool,
+}
+
 /// A submission whose lists are being written down.
 struct Partial {
     /// Transactions that still have to be carried out.
@@ -48,6 +59,8 @@
     waiting: HashMap<JobId, Vec<Asked>>,
     queue: VecDeque<Queued>,
     partial: HashMap<String, Partial>,
+    /// Jobs of own batches that the replica has not reached yet, with the revision at which it has.
+    committed: HashMap<JobId, Revision>,
     /// When the last batch left.
     batch_at: Micros,
 }
@@ -63,11 +76,30 @@
         self.waiting.drain().flat_map(|(_, asked)| asked).map(|asked| asked.waiter).collect()
     }
 
+    /// Whether a batch of ours holds the job, though the replica does not show it yet.
+    pub fn is_committed(&self, id: &JobId) -> bool {
+        self.committed.contains_key(id)
+    }
+
+    /// The replica has reached a revision.
+    pub fn reached(&mut self, applied: Revision) {
+        self.committed.retain(|_, revision| *revision > applied);
+    }
+
     fn take_waiters(&mut self, id: &JobId) -> Vec<Asked> {
         self.waiting.remove(id).unwrap_or_default()
     }
 }
 
+/// The commit itself shows that the job was not over then. Whether one fell with a job that it needs follows from that
+/// one's records, of which the commit tells nothing.
+fn taken_in_proof(submitted: &Submitted, asked: Asked, end: &TxnEnd) -> Option<Fresh> {
+    match end {
+        TxnEnd::Committed(evidence) if !submitted.awaits_others => evidence.of_taken_in(asked.at),
+        _ => None,
+    }
+}
+
 impl Core {
     pub(super) fn submit(&mut self, asked: Asked, submission: Submission) {
         let Some(id) = submission.id else {
@@ -77,7 +109,8 @@
             return self.users.ask(asked, Question::Submit(id, None), None);
         };
         let acceptable = self.refusal(&spec).is_none() && self.awaited_exist(&spec);
-        if self.replica.jobs.contains_key(&id) || !acceptable {
+        let known = self.replica.jobs.contains_key(&id) || self.users.submissions.is_committed(&id);
+        if known || !acceptable {
             // Known, or to be refused unless it is known after all.
             return self.users.ask(asked, Question::Submit(id, Some(Box::new(spec))), None);
         }
@@ -186,7 +219,11 @@
             }
         }
         txn.put(name, to_value(&members));
-        self.send_txn(txn, Purpose::Submit(members.into_iter().map(|m| m.id).collect()));
+        let submitted = |member: BatchMember| {
+            let awaits_others = member.record.pieces.is_some() || !member.record.spec.awaits.is_empty();
+            Submitted { id: member.id, awaits_others }
+        };
+        self.send_txn(txn, Purpose::Submit(members.into_iter().map(submitted).collect()));
     }
 
     /// As many queued submissions as one value and one transaction's conditions have room for.
@@ -230,7 +267,14 @@
     }
 
     /// The batch that would take a job in has ended.
-    pub(super) fn submit_over(&mut self, id: &JobId, end: &TxnEnd) {
+    pub(super) fn submit_over(&mut self, submitted: &Submitted, end: &TxnEnd) {
+        let id = &submitted.id;
+        if let TxnEnd::Committed(evidence) = end
+            && evidence.revision() > self.replica.applied
+        {
+            self.users.submissions.committed.insert(id.clone(), evidence.revision());
+        }
+        let known = self.replica.jobs.contains_key(id) || self.users.submissions.is_committed(id);
         for (position, asked) in self.users.submissions.take_waiters(id).into_iter().enumerate() {
             if let Some(status) = self.final_status(id) {
                 self.tell(asked.waiter, status);
@@ -238,28 +282,18 @@
             }
             let newly = end.is_committed() && position == 0;
             let question = Question::TakenIn { id: id.clone(), newly };
-            match self.taken_in_proof(id, asked, end) {
+            match taken_in_proof(submitted, asked, end) {
                 Some(fresh) => self.answer_question(asked, question, &fresh),
                 // Not among the jobs known: the batch was refused on another's account, or its end is unknown.
-                None if !self.replica.jobs.contains_key(id) => {
-                    self.answer(asked.waiter, BUSY);
-                }
+                None if !known => self.answer(asked.waiter, BUSY),
                 None => {
-                    let known = end.evidence().and_then(|evidence| evidence.revision_after(asked.at));
-                    self.users.ask(asked, question, known);
+                    let revision = end.evidence().and_then(|evidence| evidence.revision_after(asked.at));
+                    self.users.ask(asked, question, revision);
                 }
             }
         }
     }
 
-    /// The commit itself shows that the job was not over then. Whether one fell with a job that it needs follows from
-    /// that one's records, of which the commit tells nothing.
-    fn taken_in_proof(&self, id: &JobId, asked: Asked, end: &TxnEnd) -> Option<Fresh> {
-        let TxnEnd::Committed(evidence) = end else { return None };
-        let known = self.replica.jobs.get(id)?;
-        if known.record.spec.awaits.is_empty() { evidence.of_taken_in(asked.at) } else { None }
-    }
-
     /// Why a job that is not known can't be taken now, or ever.
     pub(super) fn refusal(&self, spec: &JobSpec) -> Option<UserAnswer> {
         let never = |why| Some(UserAnswer::CanNeverRun(why));
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -5,6 +5,7 @@
 //! the revision of the refusal; then everything is derived anew from it.
 
 use super::evidence::{Evidence, LogicalTime};
+use super::submissions::Submitted;
 use super::{Core, Effect, Failure, StateCall, TxnOutcome};
 use crate::bookkeeping::Replica;
 use crate::bookkeeping::schema::Key;
@@ -31,7 +32,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Purpose {
-    Submit(Vec<JobId>),
+    Submit(Vec<Submitted>),
     /// Lists of a large submission, under that name.
     AwaitedParts(String),
     Cancel(JobId),
@@ -331,7 +332,7 @@
     }
 
     /// Own commits are known before the watch brings them. Roles wait for the watch: holding
-    /// one must imply having seen everything before it. A commit that the replica has passed already is in it, with
+    /// one must imply having seen everything before it. So do jobs: of two batches the earlier counts. A commit that the replica has passed already is in it, with
     /// whatever happened to its keys since.
     fn apply_own(&mut self, txn: &Txn, revision: u64) {
         if revision <= self.replica.applied.0 {
@@ -343,7 +344,7 @@
                 Write::Put { key, value, .. } => (key, Some(value)),
                 Write::Delete { key } => (key, None),
             };
-            if !matches!(Key::parse(key), Some(Key::Role(_) | Key::Term) | None) {
+            if !matches!(Key::parse(key), Some(Key::Role(_) | Key::Term | Key::Batch(_)) | None) {
                 changes.push(self.replica.apply(key, value, revision));
             }
         }
@@ -352,7 +353,7 @@
 
     fn txn_over(&mut self, purpose: &Purpose, end: &TxnEnd) {
         match purpose {
-            Purpose::Submit(ids) => ids.iter().for_each(|id| self.submit_over(id, end)),
+            Purpose::Submit(jobs) => jobs.iter().for_each(|job| self.submit_over(job, end)),
             Purpose::AwaitedParts(name) => self.awaited_parts_over(name, end.is_committed()),
             Purpose::Cancel(id) => self.cancel_over(id),
             Purpose::Node | Purpose::Role => self.role_txn_over(purpose, !end.is_committed()),
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -96,7 +96,9 @@
         if let Some(status) = self.final_status(id) {
             return Some(status);
         }
-        self.replica.jobs.get(id)?;
+        if !self.replica.jobs.contains_key(id) && !self.users.submissions.is_committed(id) {
+            return None;
+        }
         let (done, running) = self.jobs.get(id).map_or((0, 0), |job| job.counts());
         let state = if running > 0 { JobState::Running } else { JobState::Queued };
         Some(JobStatus { id: id.clone(), state, done: Some(done), running: Some(running) })
