--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -148,50 +148,13 @@
                 store(&mut self.nodes, label.clone(), value.and_then(from_value), version);
                 Change::Node(label)
             }
-            Key::Fleet(name) => {
-                let before = self.fleets.get(&name).map(|f| f.value.clone()).unwrap_or_default();
-                let now: Option<Vec<FleetMember>> = value.and_then(from_value);
-                let members = before.into_iter().chain(now.iter().flatten().cloned());
-                let mut ids: Vec<MachineId> = members.map(|m| m.id).collect();
-                ids.dedup();
-                self.fleet_of.retain(|_, fleet| *fleet != name);
-                for member in now.iter().flatten() {
-                    self.fleet_of.insert(member.id.clone(), name.clone());
-                }
-                store(&mut self.fleets, name, now, version);
-                for id in &ids {
-                    self.settle_machine(id);
-                }
-                Change::Machines(ids)
-            }
+            Key::Fleet(name) => self.apply_fleet(name, value, version),
             Key::Machine(id) => {
                 store_hashed(&mut self.own_machines, id.clone(), value.and_then(from_value), version);
                 self.settle_machine(&id);
                 Change::Machines(vec![id])
             }
-            Key::Batch(name) => {
-                let now: Option<Vec<BatchMember>> = value.and_then(from_value);
-                let mut ids = self.batches.get(&name).map(|b| b.value.clone()).unwrap_or_default();
-                ids.retain(|id| self.jobs.get(id).is_some_and(|j| j.batch == name));
-                for id in &ids {
-                    self.jobs.remove(id);
-                }
-                let mut held = Vec::new();
-                for member in now.iter().flatten() {
-                    held.push(member.id.clone());
-                    // Two controllers may take the same submission at once: the first counts,
-                    // in whatever order the two are read.
-                    let earlier = self.jobs.get(&member.id).is_some_and(|j| (j.version, &j.batch) < (version, &name));
-                    if !earlier {
-                        let record = self.whole(&member.record);
-                        let known = KnownJob { record, batch: name.clone(), version };
-                        self.jobs.insert(member.id.clone(), known);
-                        ids.push(member.id.clone());
-                    }
-                }
-                store(&mut self.batches, name, now.map(|_| held), version);
-                Change::Jobs(ids)
-            }
+            Key::Batch(name) => self.apply_batch(name, value, version),
             Key::Run(id, chunk) => {
                 let run = self.runs.entry(id.clone()).or_default();
                 store(run, chunk, value.and_then(from_value), version);
@@ -218,6 +181,47 @@
         }
     }
 
+    fn apply_fleet(&mut self, name: String, value: Option<&Value>, version: u64) -> Change {
+        let before = self.fleets.get(&name).map(|f| f.value.clone()).unwrap_or_default();
+        let now: Option<Vec<FleetMember>> = value.and_then(from_value);
+        let members = before.into_iter().chain(now.iter().flatten().cloned());
+        let mut ids: Vec<MachineId> = members.map(|m| m.id).collect();
+        ids.dedup();
+        self.fleet_of.retain(|_, fleet| *fleet != name);
+        for member in now.iter().flatten() {
+            self.fleet_of.insert(member.id.clone(), name.clone());
+        }
+        store(&mut self.fleets, name, now, version);
+        for id in &ids {
+            self.settle_machine(id);
+        }
+        Change::Machines(ids)
+    }
+
+    fn apply_batch(&mut self, name: String, value: Option<&Value>, version: u64) -> Change {
+        let now: Option<Vec<BatchMember>> = value.and_then(from_value);
+        let mut ids = self.batches.get(&name).map(|b| b.value.clone()).unwrap_or_default();
+        ids.retain(|id| self.jobs.get(id).is_some_and(|j| j.batch == name));
+        for id in &ids {
+            self.jobs.remove(id);
+        }
+        let mut held = Vec::new();
+        for member in now.iter().flatten() {
+            held.push(member.id.clone());
+            // Two controllers may take the same submission at once: the first counts,
+            // in whatever order the two are read.
+            let earlier = self.jobs.get(&member.id).is_some_and(|j| (j.version, &j.batch) < (version, &name));
+            if !earlier {
+                let record = self.whole(&member.record);
+                let known = KnownJob { record, batch: name.clone(), version };
+                self.jobs.insert(member.id.clone(), known);
+                ids.push(member.id.clone());
+            }
+        }
+        store(&mut self.batches, name, now.map(|_| held), version);
+        Change::Jobs(ids)
+    }
+
     /// A job's record with all that it awaits. The pieces were in the stored records before it.
     fn whole(&self, record: &JobRecord) -> JobRecord {
         let mut record = record.clone();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -19,6 +19,7 @@
 mod orders;
 pub mod pipelines;
 pub mod placement;
+mod preemption;
 mod reads;
 mod records;
 mod registration;
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -246,8 +246,8 @@
             if job.locked || now < job.too_large_until {
                 continue;
             }
-            // Its owner's matter; all are looked at again when the share is taken. Swept jobs have nothing in the
-            // records but the outcome that is written with others'.
+            // Its owner's matter; all are looked at again when the share is taken. Jobs cancelled with another
+            // have nothing in the records but the outcome that is written with others'.
             if self.cascaded.contains(id) || !self.roles.held.contains_key(&Role::Share(job.share)) {
                 settled.push(id.clone());
                 continue;
--- a/src/coordination/versions.rs
+++ b/src/coordination/versions.rs
@@ -26,17 +26,20 @@
 /// Whether whoever leads leaves it to the holders of shares to move machines. True while nobody leads: no machine is
 /// moved then by anybody else.
 pub fn leader_leaves_moves(replica: &Replica, own: RecordVersion) -> bool {
-    let leader = replica.roles.get(&Role::Leader).map(|held| held.value.version);
-    own >= HOLDER_MOVES && leader.is_none_or(|version| version >= HOLDER_MOVES)
+    own >= HOLDER_MOVES && !leader_moves(replica)
+}
+
+/// Whether somebody leads by the rules of before, and so moves machines by itself.
+fn leader_moves(replica: &Replica) -> bool {
+    replica.roles.get(&Role::Leader).is_some_and(|held| held.value.version < HOLDER_MOVES)
 }
 
 /// Who moves machines out of a share, as far as the replica shows.
 pub fn mover(replica: &Replica, share: u32) -> Mover {
-    let version = |role| replica.roles.get(&role).map(|held| held.value.version);
-    if version(Role::Leader).is_some_and(|leader| leader < HOLDER_MOVES) {
+    if leader_moves(replica) {
         return Mover::Leader;
     }
-    match version(Role::Share(share)) {
+    match replica.roles.get(&Role::Share(share)).map(|held| held.value.version) {
         Some(holder) if holder >= HOLDER_MOVES => Mover::Holder,
         Some(_) => Mover::Leader,
         None => Mover::Nobody,
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::{Instant, Interval, MissedTickBehavior};
 
 /// Commands of one batch at most, so that effects don't wait for long.
 const BATCH: usize = 64;
@@ -42,10 +42,10 @@
     let quota = &platform.deployment.quota;
     let client = Client::keeping(quota.part_of_sockets(policy.idle_part));
     let services = Arc::new(Services::new(&platform, &policy, client.clone()));
-    let (users, mut from_users) = mpsc::channel::<UserAsk>(USER_ASKS);
-    let (workers, mut from_workers) = mpsc::channel::<WorkerAsk>(WORKER_ASKS);
-    let (peers, mut from_peers) = mpsc::channel::<PeerAsk>(PEER_ASKS);
-    let (outcomes, mut done) = mpsc::unbounded_channel::<Command>();
+    let (users, from_users) = mpsc::channel::<UserAsk>(USER_ASKS);
+    let (workers, from_workers) = mpsc::channel::<WorkerAsk>(WORKER_ASKS);
+    let (peers, from_peers) = mpsc::channel::<PeerAsk>(PEER_ASKS);
+    let (outcomes, done) = mpsc::unbounded_channel::<Command>();
     let gate = Arc::new(Gate {
         bounces: Bounces::default(),
         users,
@@ -77,6 +77,7 @@
     let mut waiters = Waiters { next: 0, users: HashMap::new(), workers: HashMap::new(), peers: HashMap::new() };
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut queues = Queues { done, peers: from_peers, users: from_users, workers: from_workers, tick };
     let budget = Duration::from_micros(policy.round_budget_us);
     tracing::info!(label = %platform.label, public = %platform.public_addr, "controller started");
     loop {
@@ -84,38 +85,60 @@
             // The last round ran out of time: others get their turn, then it goes on.
             tokio::task::yield_now().await;
         } else {
-            tokio::select! {
-                biased;
-                Some(command) = done.recv() => core.handle(clock(), command),
-                Some(ask) = from_peers.recv() => waiters.peer(&mut core, clock(), ask),
-                Some(ask) = from_users.recv() => waiters.user(&mut core, clock(), ask),
-                Some(ask) = from_workers.recv() => waiters.worker(&mut core, clock(), ask),
-                _ = tick.tick() => core.handle(clock(), Command::Tick),
-            }
+            queues.wait(&mut core, &mut waiters, &clock).await;
+        }
+        queues.take_batch(&mut core, &mut waiters, &clock);
+        let until = Instant::now() + budget;
+        let effects = core.round(clock(), &mut || Instant::now() < until);
+        gate.standing.ready.store(core.is_ready(), Ordering::Relaxed);
+        gate.standing.reaches_state.store(core.reaches_state(), Ordering::Relaxed);
+        for effect in effects {
+            carry_out(effect, &services, &deliver, &mut waiters, &gate);
         }
+    }
+}
+
+/// What waits for the core.
+struct Queues {
+    /// Answers to calls, which come first: much waits for them.
+    done: mpsc::UnboundedReceiver<Command>,
+    peers: mpsc::Receiver<PeerAsk>,
+    users: mpsc::Receiver<UserAsk>,
+    workers: mpsc::Receiver<WorkerAsk>,
+    tick: Interval,
+}
+
+impl Queues {
+    /// Waits for one command and feeds it to the core.
+    async fn wait(&mut self, core: &mut Core, waiters: &mut Waiters, clock: &impl Fn() -> Clock) {
+        tokio::select! {
+            biased;
+            Some(command) = self.done.recv() => core.handle(clock(), command),
+            Some(ask) = self.peers.recv() => waiters.peer(core, clock(), ask),
+            Some(ask) = self.users.recv() => waiters.user(core, clock(), ask),
+            Some(ask) = self.workers.recv() => waiters.worker(core, clock(), ask),
+            _ = self.tick.tick() => core.handle(clock(), Command::Tick),
+        }
+    }
+
+    /// Feeds what has come meanwhile, up to a batch.
+    fn take_batch(&mut self, core: &mut Core, waiters: &mut Waiters, clock: &impl Fn() -> Clock) {
         for _ in 0..BATCH {
-            if let Ok(command) = done.try_recv() {
+            if let Ok(command) = self.done.try_recv() {
                 core.handle(clock(), command);
                 continue;
             }
-            if let Ok(ask) = from_peers.try_recv() {
-                waiters.peer(&mut core, clock(), ask);
+            if let Ok(ask) = self.peers.try_recv() {
+                waiters.peer(core, clock(), ask);
                 continue;
             }
             // One of each in turn, so that neither keeps out the other.
-            let user = from_users.try_recv().map(|ask| waiters.user(&mut core, clock(), ask));
-            let worker = from_workers.try_recv().map(|ask| waiters.worker(&mut core, clock(), ask));
+            let user = self.users.try_recv().map(|ask| waiters.user(core, clock(), ask));
+            let worker = self.workers.try_recv().map(|ask| waiters.worker(core, clock(), ask));
             if user.is_err() && worker.is_err() {
                 break;
             }
         }
-        let until = Instant::now() + budget;
-        let effects = core.round(clock(), &mut || Instant::now() < until);
-        gate.standing.ready.store(core.is_ready(), Ordering::Relaxed);
-        gate.standing.reaches_state.store(core.reaches_state(), Ordering::Relaxed);
-        for effect in effects {
-            carry_out(effect, &services, &deliver, &mut waiters, &gate);
-        }
     }
 }
 
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -344,42 +344,59 @@
     if path == "/healthz" {
         return Plain::error(405, "method not allowed");
     }
-    let request = if path == "/api/jobs" {
+    let request = match user_request(method, path, body) {
+        Ok(request) => request,
+        Err(refusal) => return refusal,
+    };
+    let (back, answer) = oneshot::channel();
+    if gate.users.try_send(UserAsk { request, back }).is_err() {
+        return Plain::unavailable(2);
+    }
+    let Ok(Ok(answer)) = timeout(ANSWER_LIMIT, answer).await else {
+        return Plain::unavailable(1);
+    };
+    if relay
+        && matches!(answer, UserAnswer::Unavailable { .. })
+        && let Some(answer) = pass_on(gate, method, path, body).await
+    {
+        return answer;
+    }
+    user_answer(answer)
+}
+
+/// What a user asks for, or why that is no request.
+fn user_request(method: &Method, path: &str, body: &[u8]) -> Result<UserRequest, Plain> {
+    if path == "/api/jobs" {
         if method != Method::POST {
-            return Plain::error(405, "method not allowed");
+            return Err(Plain::error(405, "method not allowed"));
         }
         let submission = user::submission(body);
         if submission.id.is_none() {
-            return Plain::error(400, "malformed");
-        }
-        UserRequest::Submit(Box::new(submission))
-    } else if let Some(rest) = path.strip_prefix("/api/jobs/") {
-        let (id, abort) = match rest.strip_suffix("/abort") {
-            Some(id) => (id, true),
-            None => (rest, false),
-        };
-        if id.is_empty() || id.contains('/') {
-            return Plain::error(404, "no such path");
-        }
-        if *method != if abort { Method::POST } else { Method::GET } {
-            return Plain::error(405, "method not allowed");
+            return Err(Plain::error(400, "malformed"));
         }
-        if !user::valid_id(id) {
-            return Plain::error(404, "no such job");
-        }
-        let id = JobId::new(id);
-        if abort { UserRequest::Cancel(id) } else { UserRequest::Get(id) }
-    } else {
-        return Plain::error(404, "no such path");
-    };
-    let (back, answer) = oneshot::channel();
-    if gate.users.try_send(UserAsk { request, back }).is_err() {
-        return Plain::unavailable(2);
+        return Ok(UserRequest::Submit(Box::new(submission)));
     }
-    let answer = match timeout(ANSWER_LIMIT, answer).await {
-        Ok(Ok(answer)) => answer,
-        _ => return Plain::unavailable(1),
+    let Some(rest) = path.strip_prefix("/api/jobs/") else {
+        return Err(Plain::error(404, "no such path"));
     };
+    let (id, abort) = match rest.strip_suffix("/abort") {
+        Some(id) => (id, true),
+        None => (rest, false),
+    };
+    if id.is_empty() || id.contains('/') {
+        return Err(Plain::error(404, "no such path"));
+    }
+    if *method != if abort { Method::POST } else { Method::GET } {
+        return Err(Plain::error(405, "method not allowed"));
+    }
+    if !user::valid_id(id) {
+        return Err(Plain::error(404, "no such job"));
+    }
+    let id = JobId::new(id);
+    Ok(if abort { UserRequest::Cancel(id) } else { UserRequest::Get(id) })
+}
+
+fn user_answer(answer: UserAnswer) -> Plain {
     match answer {
         UserAnswer::Accepted(id) => {
             let status = JobStatus { id, state: JobState::Queued, done: None, running: None };
@@ -389,12 +406,7 @@
         UserAnswer::Malformed => Plain::error(400, "malformed"),
         UserAnswer::CanNeverRun(why) => Plain::error(422, why),
         UserAnswer::NotFound => Plain::error(404, "no such job"),
-        UserAnswer::Unavailable { retry_after_s } => {
-            if relay && let Some(answer) = pass_on(gate, method, path, body).await {
-                return answer;
-            }
-            Plain::unavailable(retry_after_s)
-        }
+        UserAnswer::Unavailable { retry_after_s } => Plain::unavailable(retry_after_s),
     }
 }
 
