Probes, capacity and registration in named steps; constants with their reasons

Behaviour unchanged: what is due for a probe and widening a search, the backlog that is worth machines, offers apart from the requests, and how a reporting machine stands as one enum.

--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -33,6 +33,25 @@
 /// One in so many machines is returned at a time, so that a short lull doesn't empty the cluster.
 const RETURN_PART: usize = 100;
 
+/// Machines that one request may ask for.
+const RENTAL_MOST: u32 = 50;
+/// Estimates below this are taken for it, in seconds.
+const ESTIMATE_LEAST_S: f64 = 5.0;
+
+/// Batch work of a share that waits.
+#[derive(Default)]
+struct Backlog {
+    cpu_seconds: f64,
+    /// What finds no room now.
+    unmet: Vec<Unmet>,
+}
+
+impl Backlog {
+    fn add(&mut self, job: &Job, tasks: u64) {
+        self.cpu_seconds += tasks as f64 * job.spec.cpus * job.spec.estimate_s.max(ESTIMATE_LEAST_S);
+    }
+}
+
 impl Core {
     pub(super) fn plan(&mut self) {
         let mut unmet: Vec<Unmet> = Vec::new();
@@ -95,8 +114,7 @@
         let mut jobs: Vec<&Job> =
             self.jobs.values().filter(|j| j.share == share && j.recorded && j.over.is_none()).collect();
         jobs.sort_by_key(|j| (std::cmp::Reverse(j.urgency.priority), j.ready));
-        let mut batch: Vec<Unmet> = Vec::new();
-        let mut backlog = 0.0;
+        let mut batch = Backlog::default();
         let mut used: HashMap<&str, Room> = HashMap::new();
         for job in &jobs {
             if let Some(team) = &job.spec.team {
@@ -112,44 +130,53 @@
                 *sum = sum.plus(&job.room.times(count));
             }
             // What its team's limit keeps back queues as well, and would be worked off sooner with more machines.
-            let kept_back = waiting - count;
             if job.spec.kind == Kind::Array {
-                backlog += kept_back as f64 * job.spec.cpus * job.spec.estimate_s.max(5.0);
+                batch.add(job, waiting - count);
             }
             if count == 0 {
                 continue;
             }
-            let mut zones = BTreeMap::new();
-            if job.spec.one_zone || job.spec.spread {
-                for live in job.live.values().filter(|l| l.occupies()) {
-                    if let Some(r) = self.replica.machines.get(live.machine()) {
-                        *zones.entry(r.value.zone.clone()).or_default() += 1;
-                    }
-                }
-            }
-            let placed = fit(&job.spec, count, slots, &mut zones);
-            let left = count - placed;
+            let mut zones = self.zones_of(job);
+            let left = count - fit(&job.spec, count, slots, &mut zones);
             if left == 0 {
                 continue;
             }
             let rest = Unmet { share, spec: (*job.spec).clone(), count: left, zones };
             if job.spec.kind == Kind::Array {
-                backlog += left as f64 * job.spec.cpus * job.spec.estimate_s.max(5.0);
-                batch.push(rest);
+                batch.add(job, left);
+                batch.unmet.push(rest);
             } else {
                 unmet.push(rest);
             }
         }
         self.add_spare(&jobs, share, slots, unmet);
-        // Batch work may queue as long as what the share has works it off in time.
+        unmet.extend(self.worth_machines(batch, &jobs));
+    }
+
+    /// How many tasks of a job each zone has, if that binds the others.
+    fn zones_of(&self, job: &Job) -> BTreeMap<String, u64> {
+        let mut zones = BTreeMap::new();
+        if job.spec.one_zone || job.spec.spread {
+            for live in job.live.values().filter(|l| l.occupies()) {
+                if let Some(r) = self.replica.machines.get(live.machine()) {
+                    *zones.entry(r.value.zone.clone()).or_default() += 1;
+                }
+            }
+        }
+        zones
+    }
+
+    /// Batch work may queue as long as what the share has works it off in time; the rest needs machines.
+    fn worth_machines(&self, batch: Backlog, jobs: &[&Job]) -> Vec<Unmet> {
         let drain = Micros::from_millis(self.policy.drain_ms).secs();
         let running: f64 = jobs
             .iter()
             .filter(|j| j.spec.kind == Kind::Array)
             .map(|j| j.spec.cpus * f64::from(j.live.occupying()))
             .sum();
-        let mut wanted = backlog / drain - running;
-        for mut rest in batch {
+        let mut wanted = batch.cpu_seconds / drain - running;
+        let mut unmet = Vec::new();
+        for mut rest in batch.unmet {
             if wanted <= 0.0 {
                 break;
             }
@@ -157,6 +184,7 @@
             wanted -= rest.count as f64 * rest.spec.cpus;
             unmet.push(rest);
         }
+        unmet
     }
 
     fn within_limit_count(&self, team: &str, used: &Room, each: &Room) -> u64 {
@@ -236,7 +264,13 @@
         self.leader.refused.retain(|_, until| *until > now);
         let by_size = (self.replica.machines.len() as f64 * self.policy.boots_part) as u64;
         let most = u64::from(self.policy.boots_max).max(by_size);
-        let mut room_left = most.saturating_sub(self.leader.boots.len() as u64);
+        let room_left = most.saturating_sub(self.leader.boots.len() as u64);
+        let orders = self.offers_for(unmet, room_left);
+        self.send_rentals(orders);
+    }
+
+    /// What to rent for tasks that find no room, and how many of each, up to so many machines.
+    fn offers_for(&self, unmet: &[Unmet], mut room_left: u64) -> BTreeMap<Offer, u32> {
         let mut orders: BTreeMap<Offer, u32> = BTreeMap::new();
         // Counted once: a walk over all machines for each one to be rented took most of a second.
         let mut by_zone: BTreeMap<String, u64> = BTreeMap::new();
@@ -271,13 +305,17 @@
                 room_left -= 1;
             }
         }
+        orders
+    }
+
+    fn send_rentals(&mut self, orders: BTreeMap<Offer, u32>) {
         let term = self.held(Role::Leader).unwrap_or_default();
         for (offer, count) in orders {
             self.leader.charters += 1;
             // The term is this process's alone, so the name never comes again.
             let request = format!("r-{}-{}", term.0, self.leader.charters);
             let (machine_type, zone, spot) = offer;
-            let rental = Rental { request, machine_type, zone, spot, count: count.min(50) };
+            let rental = Rental { request, machine_type, zone, spot, count: count.min(RENTAL_MOST) };
             self.cloud(Call::Rent(rental, 0));
         }
     }
--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -57,6 +57,15 @@
     Undecided,
 }
 
+/// A machine to be asked for a sign of life; the lesser goes first.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct DueProbe<'a> {
+    /// Nothing speaks against it.
+    routine: bool,
+    heard: Micros,
+    machine: &'a MachineId,
+}
+
 impl Core {
     /// A worker whose lease has surely run out has killed its tasks. Only our answers can have
     /// renewed it once it has shown our token.
@@ -88,11 +97,34 @@
     /// probes allows, those heard longest ago first: a controller that holds all shares would do little
     /// else. What has no place now comes first in the next round.
     pub(super) fn probe(&mut self, ours: &[MachineId]) {
+        let due = self.due_probes(ours);
+        let now = self.now();
+        let rate = self.policy.probes_per_s;
+        self.probes_left = (self.probes_left + now.since(self.probed_at).secs() * rate).min(rate.max(1.0));
+        self.probed_at = now;
+        for DueProbe { routine, machine: id, .. } in due {
+            if self.direct_open >= self.direct_most || (routine && self.probes_left < 1.0) {
+                break;
+            }
+            if routine {
+                self.probes_left -= 1.0;
+            }
+            let Some(token) = self.token(id) else { continue };
+            let Some(machine) = self.machines.get_mut(id) else { continue };
+            let Some(addr) = machine.addr else { continue };
+            machine.next_probe = now + Micros::from_millis(self.policy.probe_ms);
+            let session = machine.session.max(1);
+            self.send_direct(id, addr, DirectOrders { token, session, orders: Vec::new() });
+        }
+    }
+
+    /// Machines to be asked for a sign of life, in that order.
+    fn due_probes<'a>(&self, ours: &'a [MachineId]) -> Vec<DueProbe<'a>> {
         let now = self.now();
         let early = Micros::from_millis(self.policy.probe_after_ms);
         let late = Micros::from_secs_f64(self.platform.deployment.workers.report_s * self.policy.report_late_part);
-        let mut due: Vec<(bool, Micros, &MachineId)> = Vec::new();
-        let mut quiet: BTreeMap<&str, Vec<(Micros, &MachineId)>> = BTreeMap::new();
+        let mut due: Vec<DueProbe> = Vec::new();
+        let mut quiet: BTreeMap<&str, Vec<DueProbe>> = BTreeMap::new();
         let mut suspected: BTreeSet<&str> = BTreeSet::new();
         for id in ours {
             let (Some(machine), Some(record)) = (self.machines.get(id), self.replica.machines.get(id)) else {
@@ -108,41 +140,28 @@
             if machine.direct || now < machine.next_probe || !(suspect || silence >= early) {
                 continue;
             }
+            let probe = DueProbe { routine: !suspect, heard: machine.heard, machine: id };
             if suspect || self.usage.serves(id) {
-                due.push((!suspect, machine.heard, id));
+                due.push(probe);
             } else {
-                quiet.entry(zone).or_default().push((machine.heard, id));
+                quiet.entry(zone).or_default().push(probe);
             }
         }
-        // Where one fails to answer, a few others of its zone are asked at once, whatever they run: whether
-        // one machine is lost or all are cut off must show before anything is decided.
         for zone in suspected {
-            let mut others = quiet.remove(zone).unwrap_or_default();
-            others.sort_unstable();
-            due.extend(others.into_iter().take(WIDENED).map(|(heard, id)| (false, heard, id)));
-            let routine = due.iter_mut().filter(|(routine, _, id)| {
-                *routine && self.replica.machines.get(*id).is_some_and(|m| m.value.zone == zone)
-            });
-            routine.take(WIDENED).for_each(|(routine, ..)| *routine = false);
+            self.widen_search(zone, quiet.remove(zone).unwrap_or_default(), &mut due);
         }
         due.sort_unstable();
-        let rate = self.policy.probes_per_s;
-        self.probes_left = (self.probes_left + now.since(self.probed_at).secs() * rate).min(rate.max(1.0));
-        self.probed_at = now;
-        for (routine, _, id) in due {
-            if self.direct_open >= self.direct_most || (routine && self.probes_left < 1.0) {
-                break;
-            }
-            if routine {
-                self.probes_left -= 1.0;
-            }
-            let Some(token) = self.token(id) else { continue };
-            let Some(machine) = self.machines.get_mut(id) else { continue };
-            let Some(addr) = machine.addr else { continue };
-            machine.next_probe = now + Micros::from_millis(self.policy.probe_ms);
-            let session = machine.session.max(1);
-            self.send_direct(id, addr, DirectOrders { token, session, orders: Vec::new() });
-        }
+        due
+    }
+
+    /// Where one machine fails to answer, a few others of its zone are asked at once, whatever they run: whether
+    /// one is lost or all are cut off must show before anything is decided.
+    fn widen_search<'a>(&self, zone: &str, mut quiet: Vec<DueProbe<'a>>, due: &mut Vec<DueProbe<'a>>) {
+        quiet.sort_unstable();
+        due.extend(quiet.into_iter().take(WIDENED).map(|probe| DueProbe { routine: false, ..probe }));
+        let in_zone = |id: &MachineId| self.replica.machines.get(id).is_some_and(|m| m.value.zone == zone);
+        let routine = due.iter_mut().filter(|probe| probe.routine && in_zone(probe.machine));
+        routine.take(WIDENED).for_each(|probe| probe.routine = false);
     }
 
     /// Asks a machine that is not in the stored records for a sign of life. The token 0 moves nobody to
--- a/src/coordination/registration.rs
+++ b/src/coordination/registration.rs
@@ -11,59 +11,84 @@
 /// So long a machine's answer counts as a sign that it exists.
 const ALIVE_SPAN: Micros = Micros::from_millis(5000);
 
+/// How a machine stands that reports.
+enum Standing {
+    /// It has a record, or one is on its way.
+    Known,
+    /// It reports after its deletion: an old report, or the deletion missed it.
+    Deleted,
+    /// A report may be a late copy, and its machine long gone: it has to answer first.
+    Unproven,
+    /// It answered when it was asked a moment ago.
+    Alive,
+}
+
 impl Core {
     /// Machines that report and have no record get one, in the share that needs them most.
     pub(super) fn register_machines(&mut self) {
-        let mut members: Vec<FleetMember> = Vec::new();
-        let mut refused = Vec::new();
         let limits = self.platform.deployment.state.clone();
         let room = (limits.least_value_kb() * 1024.0 * VALUE_FILL) as usize;
-        let mut size = 0;
         let reports: Vec<_> = self.unregistered.iter().map(|held| held.report.clone()).collect();
         let now = self.now();
         self.leader.alive.retain(|_, at| now.since(*at) < ALIVE_SPAN);
+        let mut members: Vec<FleetMember> = Vec::new();
+        let mut refused = Vec::new();
+        let mut size = 0;
         for report in reports {
-            let id = report.machine.clone();
-            if self.replica.machines.contains_key(&id) || members.iter().any(|m| m.id == id) {
-                continue;
-            }
-            let deleted = self.leader.deleting.contains(&id) || self.leader.deleted.contains_key(&id);
-            if deleted || self.replica.is_gone(&id) {
-                // It reports after its deletion: an old report, or the deletion missed it.
-                refused.push(id);
-                continue;
-            }
-            if self.machines.get(&id).is_some_and(|m| m.registering) {
-                continue;
-            }
-            // A report may be a late copy, and its machine long gone. Only one that answers when
-            // asked is taken in.
-            if !self.leader.alive.contains_key(&id) {
-                self.ask_for_life(&id, report.addr.as_deref());
+            let id = &report.machine;
+            if members.iter().any(|m| m.id == *id) {
                 continue;
             }
-            let share = self.neediest_share(&report, &members);
-            let record = MachineRecord {
-                share,
-                term: Term(0),
-                machine_type: report.machine_type.clone(),
-                zone: report.zone.clone(),
-                spot: report.spot,
-                addr: report.addr.clone().unwrap_or_default(),
-                hold: None,
-            };
-            let member = FleetMember { id, record };
-            let more = serde_json::to_string(&member).map_or(room, |text| text.len() + 1);
-            // The role's condition and the fleet's own leave room for so many machines'.
-            if size + more > room || members.len() + 2 == limits.ops() * CONDITIONS_PER_WRITE {
-                break;
+            match self.standing(id) {
+                Standing::Known => continue,
+                Standing::Deleted => refused.push(id.clone()),
+                Standing::Unproven => self.ask_for_life(id, report.addr.as_deref()),
+                Standing::Alive => {
+                    let member = self.new_member(&report, &members);
+                    let more = serde_json::to_string(&member).map_or(room, |text| text.len() + 1);
+                    // The role's condition and the fleet's own leave room for so many machines'.
+                    if size + more > room || members.len() + 2 == limits.ops() * CONDITIONS_PER_WRITE {
+                        break;
+                    }
+                    size += more;
+                    members.push(member);
+                }
             }
-            size += more;
-            members.push(member);
         }
         if !members.is_empty() {
             self.record_registrations(members);
         }
+        self.refuse_reports_of(&refused);
+    }
+
+    fn standing(&self, id: &MachineId) -> Standing {
+        if self.replica.machines.contains_key(id) {
+            return Standing::Known;
+        }
+        let deleted = self.leader.deleting.contains(id) || self.leader.deleted.contains_key(id);
+        if deleted || self.replica.is_gone(id) {
+            return Standing::Deleted;
+        }
+        if self.machines.get(id).is_some_and(|m| m.registering) {
+            return Standing::Known;
+        }
+        if self.leader.alive.contains_key(id) { Standing::Alive } else { Standing::Unproven }
+    }
+
+    fn new_member(&mut self, report: &Report, members: &[FleetMember]) -> FleetMember {
+        let record = MachineRecord {
+            share: self.neediest_share(report, members),
+            term: Term(0),
+            machine_type: report.machine_type.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            addr: report.addr.clone().unwrap_or_default(),
+            hold: None,
+        };
+        FleetMember { id: report.machine.clone(), record }
+    }
+
+    fn refuse_reports_of(&mut self, refused: &[MachineId]) {
         self.unregistered.retain(|held| {
             let keep = !refused.contains(&held.report.machine);
             if !keep {
