--- /dev/null
+++ b/tests/rules/world/checks.rs
@@ -0,0 +1,116 @@
+//! What holds while nothing is in the way, and what scenarios look at.
+
+use super::{MS, S, World};
+use burlhatch::bookkeeping::schema::ROOT;
+use burlhatch::protocol::user::Kind;
+use burlhatch::units::{JobId, MachineId};
+
+/// Longest time in which no question about an accepted job may be answered once troubles are over.
+/// The users' patience is 75 s.
+const GAP_MOST: u64 = 40 * S;
+/// So long a task may wait then while a machine that fits has room and its team is under its limit.
+const WAIT_MOST: u64 = 90 * S;
+
+impl World {
+    /// The controller that holds a role: `leader`, or `share/` and a number.
+    pub fn holder(&self, role: &str) -> Option<usize> {
+        let (value, ..) = self.state.keys.get(&format!("{ROOT}{role}"))?;
+        let text = format!("{value:?}");
+        (0..self.size.nodes).find(|n| text.contains(&format!("node-{n}")))
+    }
+
+    /// Every job accepted, not cancelled and not over: how long its users have been without an answer.
+    pub(super) fn note_gaps(&mut self) {
+        let now = self.now;
+        let Some(calm) = self.calm_since.filter(|calm| *calm < now) else { return };
+        let mut forgotten = Vec::new();
+        for (id, job) in self.jobs.iter_mut().filter(|(_, j)| j.accepted && j.cancelled.is_none()) {
+            job.gap = job.gap.max(now - job.answered.max(calm));
+            if job.gap > GAP_MOST && job.gap < GAP_MOST + S {
+                forgotten.push(format!("forgotten: no question about {id} was answered for {} ms", job.gap / MS));
+            }
+        }
+        for what in forgotten {
+            self.broken(what);
+        }
+    }
+
+    /// Every task of arrays and services that waits: how long it could have run all the same.
+    pub(super) fn note_stranded(&mut self) {
+        let now = self.now;
+        let Some(calm) = self.calm_since.filter(|calm| *calm < now) else { return };
+        let mut found = Vec::new();
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.accepted && j.told.is_none() && j.spec.kind != Kind::Gang) {
+            let placed = |index: u32| self.workers.values().any(|w| w.tasks.contains_key(&(id.clone(), index)));
+            let waits = (0..job.spec.tasks).any(|t| !job.done_tasks[t as usize] && !placed(t));
+            // What it could do with one more task; its other tasks may bind it to zones.
+            let free = !job.spec.one_zone && !job.spec.spread;
+            let could = waits && free && job.cancel_at.is_none_or(|at| at > now) && self.could_run(&job.spec);
+            let since = if could { Some(job.stranded_since.unwrap_or(now).max(calm)) } else { None };
+            found.push((id.clone(), since));
+        }
+        for (id, since) in found {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.stranded_since = since;
+            }
+            if since.is_some_and(|at| now - at >= WAIT_MOST) {
+                self.broken(format!("{id} waits for 90 s though it could run"));
+            }
+        }
+    }
+
+    pub fn broken(&mut self, what: String) {
+        let at = self.now as f64 / 1e6;
+        self.violations.push(format!("{at:.3} s: {what}"));
+    }
+
+    /// Everything the state service holds, for checks of the stored records.
+    pub fn stored_keys(&self) -> Vec<String> {
+        self.state.keys.keys().filter(|k| k.starts_with(ROOT)).cloned().collect()
+    }
+
+    /// Machines in the stored records, whether by a key of their own or by a fleet's.
+    pub fn stored_machines(&self) -> Vec<MachineId> {
+        let mut replica = burlhatch::bookkeeping::Replica::default();
+        for (key, (value, version, _)) in &self.state.keys {
+            replica.apply(key, Some(value), *version);
+        }
+        replica.machines.keys().cloned().collect()
+    }
+
+    /// Shares that nobody holds at this moment.
+    pub fn unowned_shares(&self) -> usize {
+        self.size.nodes - self.state.keys.keys().filter(|k| k.starts_with(&format!("{ROOT}share/"))).count()
+    }
+
+    /// Tasks of a job that run now.
+    pub fn running(&self, id: &JobId) -> usize {
+        self.workers.values().flat_map(|w| w.tasks.keys()).filter(|k| k.0 == *id).count()
+    }
+
+    pub fn limited(&self) -> u64 {
+        self.state.limited
+    }
+
+    pub fn all_over(&self) -> bool {
+        self.jobs.values().all(|j| j.told.is_some())
+    }
+
+    pub fn unfinished(&self) -> Vec<String> {
+        let open = self.jobs.iter().filter(|(_, j)| j.told.is_none());
+        open.map(|(id, j)| {
+            let places: Vec<_> = self
+                .workers
+                .iter()
+                .flat_map(|(m, w)| w.tasks.iter().filter(|(k, _)| k.0 == *id).map(move |(k, t)| (m, k.1, t)))
+                .collect();
+            let records: Vec<_> =
+                self.state.keys.iter().filter(|(k, _)| k.contains(id.as_str())).map(|(k, v)| (k, &v.0)).collect();
+            format!(
+                "{id} {:?} done {:?} cancelled {:?} at {places:?} records {records:?}",
+                j.spec, j.done_tasks, j.cancel_at
+            )
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/tests/rules/world/control.rs
@@ -0,0 +1,151 @@
+//! Controllers: commands in, effects carried out.
+
+use super::network::Fate;
+use super::{Event, MS, Place, S, STATE_LIMIT, World, state};
+use burlhatch::coordination::{
+    Clock, CloudOutcome, Command, Effect, Failure, OrdersOutcome, StateCall, UserAnswer, UserRequest,
+};
+use burlhatch::units::{JobId, Micros};
+
+impl World {
+    pub(super) fn clock(&self, node: usize) -> Clock {
+        let n = &self.nodes[node];
+        Clock {
+            steady: Micros(((self.now - n.began) as f64 * n.drift) as u64 + 1),
+            wall: Micros(1_700_000_000 * S + self.now + node as u64 * 20 * MS),
+        }
+    }
+
+    pub(super) fn feed(&mut self, node: usize, command: Command) {
+        let clock = self.clock(node);
+        let _at = tracing::debug_span!("at", ms = self.now / MS, node).entered();
+        let frozen = self.now < self.nodes[node].frozen_until;
+        let Some(core) = self.nodes[node].core.as_mut() else { return };
+        if frozen {
+            if !matches!(command, Command::Tick) {
+                self.nodes[node].backlog.push(command);
+            }
+            return;
+        }
+        core.handle(clock, command);
+        let mut looks = 50;
+        let effects = core.round(clock, &mut || {
+            looks -= 1;
+            looks > 0
+        });
+        for effect in effects {
+            self.carry_out(node, effect);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, node: usize, effect: Effect) {
+        let life = self.nodes[node].life;
+        match effect {
+            Effect::AnswerUser(waiter, answer) => self.user_answer(node, waiter, answer),
+            Effect::AnswerWorker(waiter, answer) => {
+                if let Some((machine, serial)) = self.nodes[node].workers.remove(&waiter) {
+                    let fate = self.fate(&Place::Node(node), &Place::Worker(machine.clone()));
+                    match fate {
+                        Fate::Arrives(delay) | Fate::Held(delay) => {
+                            self.at(delay, Event::ReportAnswer { machine, serial, answer: Some(answer) });
+                        }
+                        Fate::Refused => self.at(MS, Event::ReportAnswer { machine, serial, answer: None }),
+                    }
+                }
+            }
+            Effect::AnswerPeer(waiter, answer) => {
+                if let Some((to, life, call, number)) = self.nodes[node].peers.remove(&waiter) {
+                    let command = Command::PeerAnswer { call: number, answer: Some(answer) };
+                    self.reply(Place::Node(node), to, life, call, command);
+                }
+            }
+            Effect::Peer { call: number, to, message } => {
+                let Some(to) = to.strip_prefix("node-").and_then(|n| n.parse().ok()) else { return };
+                self.call(
+                    node,
+                    Place::Node(to),
+                    700 * MS,
+                    |call| Event::Peer { node, life, call, to, number, message: message.clone() },
+                    |_| Command::PeerAnswer { call: number, answer: None },
+                );
+            }
+            Effect::State(request) => {
+                let limit = match &request {
+                    StateCall::Changes { wait_ms, .. } => wait_ms * MS + STATE_LIMIT,
+                    _ => STATE_LIMIT,
+                };
+                let shape = request.clone();
+                let is_txn = matches!(request, StateCall::Txn { .. });
+                let may_be_late = self.now < self.late_writes.0 && self.late_writer.is_none_or(|late| late == node);
+                if is_txn && may_be_late && self.chance(self.late_writes.1) {
+                    self.next_call += 1;
+                    let call = self.next_call;
+                    let late = 2 * S + self.pick(10 * S);
+                    self.open_calls.insert(call, ());
+                    self.at(late, Event::State { node, life, call, request });
+                    let command = state::failed(&shape, Failure::Unknown);
+                    return self.at(limit, Event::Outcome { node, life, call, command });
+                }
+                self.call(
+                    node,
+                    Place::State,
+                    limit,
+                    |call| Event::State { node, life, call, request: request.clone() },
+                    |failure| state::failed(&shape, failure),
+                );
+            }
+            Effect::Cloud { call: number, request } => self.call(
+                node,
+                Place::Cloud,
+                5 * S,
+                |call| Event::Cloud { node, life, call, number, request: request.clone() },
+                |_| Command::Cloud { call: number, outcome: CloudOutcome::Failed },
+            ),
+            Effect::Orders { machine, orders, .. } => {
+                let id = machine.clone();
+                let empty = orders.orders.is_empty();
+                self.call(
+                    node,
+                    Place::Worker(machine.clone()),
+                    2500 * MS,
+                    |call| Event::Orders { node, life, call, machine: machine.clone(), orders: orders.clone() },
+                    |failure| {
+                        let failure = if empty { Failure::NotDone } else { failure };
+                        Command::Orders { machine: id.clone(), outcome: OrdersOutcome::Failed(failure) }
+                    },
+                );
+            }
+        }
+    }
+
+    /// One controller's answer to a question about a job, if it comes at once.
+    pub fn ask_at(&mut self, node: usize, id: &JobId) -> Option<UserAnswer> {
+        let clock = self.clock(node);
+        let core = self.nodes[node].core.as_mut()?;
+        core.handle(clock, Command::User(u64::MAX, UserRequest::Get(id.clone())));
+        let effects = core.round(clock, &mut || true);
+        let mut answer = None;
+        for effect in effects {
+            match effect {
+                Effect::AnswerUser(u64::MAX, given) => answer = Some(given),
+                other => self.carry_out(node, other),
+            }
+        }
+        answer
+    }
+
+    /// One controller's answer to a question about a job, after the read that it may need.
+    pub fn ask_fresh(&mut self, node: usize, id: &JobId) -> Option<UserAnswer> {
+        let clock = self.clock(node);
+        let core = self.nodes[node].core.as_mut()?;
+        core.handle(clock, Command::User(u64::MAX, UserRequest::Get(id.clone())));
+        self.overheard = None;
+        for _ in 0..60 {
+            self.run_for(50 * MS);
+            if self.overheard.is_some() {
+                break;
+            }
+        }
+        self.overheard.take()
+    }
+}
--- /dev/null
+++ b/tests/rules/world/faults.rs
@@ -0,0 +1,180 @@
+//! Troubles that scenarios cause, and changes of version and limits.
+
+use super::network::Cut;
+use super::{Event, Limits, MS, Place, S, World};
+use burlhatch::units::MachineId;
+
+impl World {
+    pub fn crash(&mut self, node: usize, back_after: u64) {
+        tracing::info!(at_ms = self.now / MS, node, back_after, "trouble: crash");
+        self.nodes[node].core = None;
+        self.nodes[node].life += 1;
+        // Workers and users on its connections see a reset.
+        let lost: Vec<_> = std::mem::take(&mut self.nodes[node].workers).into_values().collect();
+        for (machine, serial) in lost {
+            self.at(MS, Event::ReportAnswer { machine, serial, answer: None });
+        }
+        self.nodes[node].users.clear();
+        self.nodes[node].peers.clear();
+        self.nodes[node].frozen_until = 0;
+        self.nodes[node].backlog.clear();
+        self.at(back_after, Event::Restart(node));
+    }
+
+    /// The controller stands still; what is sent to it waits in its sockets and comes all at once.
+    pub fn freeze(&mut self, node: usize, duration: u64) {
+        tracing::info!(at_ms = self.now / MS, node, duration, "trouble: freeze");
+        self.nodes[node].frozen_until = self.now + duration;
+        let life = self.nodes[node].life;
+        self.at(duration, Event::Thaw(node, life));
+    }
+
+    pub fn cut(&mut self, duration: u64, hold: bool, between: impl Fn(&Place, &Place) -> bool + 'static) {
+        tracing::info!(at_ms = self.now / MS, duration, hold, "trouble: cut");
+        let until = self.now + duration;
+        self.cuts.push(Cut { between: Box::new(between), until, hold, one_way: false });
+    }
+
+    /// The machine's reports arrive, but neither answers nor commands reach it.
+    pub fn make_unreachable(&mut self, nth: usize, duration: u64) -> Option<MachineId> {
+        let id = self.nth_worker(nth)?;
+        tracing::info!(at_ms = self.now / MS, machine = %id, duration, "trouble: deaf");
+        let until = self.now + duration;
+        let unreachable = Place::Worker(id.clone());
+        let between = move |_: &Place, to: &Place| *to == unreachable;
+        self.cuts.push(Cut { between: Box::new(between), until, hold: false, one_way: true });
+        Some(id)
+    }
+
+    /// The machine's reports reach no controller, though direct commands reach it and are answered.
+    pub fn unreported(&mut self, nth: usize, duration: u64) -> Option<MachineId> {
+        let id = self.nth_worker(nth)?;
+        tracing::info!(at_ms = self.now / MS, machine = %id, duration, "trouble: mute");
+        let until = self.now + duration;
+        self.workers.get_mut(&id)?.unreported_until = until;
+        Some(id)
+    }
+
+    /// Transactions, one in so many, get no answer and are carried out seconds later, after newer ones.
+    pub fn late_writes(&mut self, duration: u64, one_in: u32) {
+        tracing::info!(at_ms = self.now / MS, duration, "trouble: late writes");
+        self.late_writes = (self.now + duration, one_in);
+        self.late_writer = None;
+    }
+
+    /// The same for all transactions of one controller.
+    pub fn late_writes_of(&mut self, node: usize, duration: u64) {
+        self.late_writes(duration, 1);
+        self.late_writer = Some(node);
+    }
+
+    /// Answers of the state service, one in so many, come up to the time limit late.
+    pub fn late_answers(&mut self, duration: u64, one_in: u32) {
+        tracing::info!(at_ms = self.now / MS, duration, "trouble: late answers");
+        self.late_answers = (self.now + duration, one_in);
+    }
+
+    /// From now on each controller's watch is answered later by up to so much, each by another lag.
+    pub fn lag_watches(&mut self, most: u64) {
+        for node in 0..self.size.nodes {
+            self.watch_lag[node] = self.pick(most + 1);
+        }
+    }
+
+    /// What the state service can hold and answer.
+    pub fn limit_state(&mut self, limits: Limits) {
+        self.state.limits = limits;
+    }
+
+    pub fn slow_links(&mut self, duration: u64, most: u64) {
+        tracing::info!(at_ms = self.now / MS, duration, "trouble: slow links");
+        self.slow = (self.now + duration, most);
+    }
+
+    /// Its worker begins anew, with nothing on it and nothing remembered.
+    pub fn restart_worker(&mut self, nth: usize) {
+        if let Some(id) = self.nth_worker(nth)
+            && let Some(rented) = self.cloud.machines.get(&id)
+        {
+            tracing::info!(at_ms = self.now / MS, machine = %id, "trouble: the worker begins anew");
+            let (machine_type, zone, spot) = (rented.machine_type.clone(), rented.zone.clone(), rented.spot);
+            self.start_worker(id, machine_type, zone, spot);
+        }
+    }
+
+    /// From here on every job has to be answered for.
+    pub fn troubles_end(&mut self) {
+        let until = self.cuts.iter().map(|c| c.until).chain([self.state.down_until]);
+        let machines = self.workers.values().flat_map(|w| [w.hung_until, w.unreported_until]);
+        let until =
+            until.chain(self.state.refused.values().copied()).chain(machines).chain([self.late_writes.0, self.slow.0]);
+        let until = until.max().unwrap_or(0).max(self.now);
+        self.calm_since = Some(until + 5 * S);
+    }
+
+    pub fn state_outage(&mut self, duration: u64) {
+        tracing::info!(at_ms = self.now / MS, duration, "trouble: outage");
+        self.state.down_until = self.now + duration;
+        self.state.prolong_leases(self.now + duration);
+    }
+
+    pub fn refuse_node(&mut self, node: usize, duration: u64) {
+        tracing::info!(at_ms = self.now / MS, node, duration, "trouble: refused");
+        self.state.refused.insert(node, self.now + duration);
+    }
+
+    pub fn hang(&mut self, nth: usize, duration: u64) {
+        if let Some(id) = self.nth_worker(nth) {
+            let until = self.now + duration;
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.hung_until = until;
+            }
+        }
+    }
+
+    pub fn kill_machine(&mut self, nth: usize) {
+        if let Some(id) = self.nth_worker(nth) {
+            self.workers.remove(&id);
+            self.cloud.failed(&id);
+        }
+    }
+
+    pub fn sicken(&mut self, nth: usize) {
+        if let Some(id) = self.nth_worker(nth)
+            && let Some(worker) = self.workers.get_mut(&id)
+        {
+            worker.sick = true;
+        }
+    }
+
+    pub fn nth_worker(&self, nth: usize) -> Option<MachineId> {
+        let up: Vec<_> = self.workers.keys().cloned().collect();
+        if up.is_empty() { None } else { Some(up[nth % up.len()].clone()) }
+    }
+
+    /// All controllers are of the version before: they know nothing of limits to come, and write as much as they may.
+    pub fn all_old(&mut self) {
+        self.old = (0..self.size.nodes).collect();
+    }
+
+    /// One controller is killed and comes back as the new version.
+    pub fn upgrade(&mut self, node: usize) {
+        self.old.remove(&node);
+        self.crash(node, 4 * S);
+    }
+
+    /// One controller is killed and comes back as the version before.
+    pub fn go_back(&mut self, node: usize, back_after: u64) {
+        self.old.insert(node);
+        self.crash(node, back_after);
+    }
+
+    /// From then on the state service takes no larger values and transactions, and fewer changes.
+    pub fn lower_limits_at(&mut self, at: u64, value: usize, ops: usize, write_rps: f64) {
+        self.state.lower = Some((at, value, ops, write_rps));
+        self.next_limits = format!(
+            "[deployment.state.next]\nwrite_rps = {write_rps:?}\nvalue_kb = {}.0\ntxn_ops = {ops}\n",
+            value / 1024
+        );
+    }
+}
--- /dev/null
+++ b/tests/rules/world/network.rs
@@ -0,0 +1,99 @@
+//! The network: delays, cuts, packets held back, and copies that come late.
+
+use super::{Event, MS, S, STATE_LIMIT, World};
+use burlhatch::coordination::{Command, Failure};
+use burlhatch::units::MachineId;
+use rand::Rng;
+
+/// Ends of a connection.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    Node(usize),
+    State,
+    Cloud,
+    Worker(MachineId),
+}
+
+pub(super) type Between = Box<dyn Fn(&Place, &Place) -> bool>;
+
+/// No traffic between places the two tests match, until `until`.
+pub(super) struct Cut {
+    pub(super) between: Between,
+    pub(super) until: u64,
+    /// Held packets arrive when it ends; otherwise connections are reset.
+    pub(super) hold: bool,
+    /// Only what goes from the first to the second is lost.
+    pub(super) one_way: bool,
+}
+
+pub(super) enum Fate {
+    Arrives(u64),
+    /// Arrives late; whoever sent it has given up by then.
+    Held(u64),
+    Refused,
+}
+
+impl World {
+    pub(super) fn fate(&mut self, from: &Place, to: &Place) -> Fate {
+        let now = self.now;
+        self.cuts.retain(|c| c.until > now);
+        let mut delay = self.rng.random_range(MS / 2..5 * MS);
+        if now < self.slow.0 {
+            delay += self.rng.random_range(0..self.slow.1);
+        }
+        let cuts = |c: &Cut| (c.between)(from, to) || (!c.one_way && (c.between)(to, from));
+        if let Some(cut) = self.cuts.iter().find(|c| cuts(c)) {
+            let late = cut.until - now + delay;
+            let hold = cut.hold;
+            return if hold && self.chance(2) { Fate::Held(late) } else { Fate::Refused };
+        }
+        Fate::Arrives(delay)
+    }
+
+    /// Sends a request; `timeout` is the command for the caller if no answer comes in time.
+    pub(super) fn call(
+        &mut self,
+        node: usize,
+        to: Place,
+        limit: u64,
+        event: impl Fn(u64) -> Event,
+        fail: impl Fn(Failure) -> Command,
+    ) {
+        self.next_call += 1;
+        let call = self.next_call;
+        self.open_calls.insert(call, ());
+        let life = self.nodes[node].life;
+        match self.fate(&Place::Node(node), &to) {
+            Fate::Arrives(delay) => {
+                self.at(delay, event(call));
+                self.at(limit, Event::Outcome { node, life, call, command: fail(Failure::Unknown) });
+                if self.copies > 0
+                    && matches!(to, Place::State | Place::Worker(_) | Place::Node(_))
+                    && self.chance(self.copies)
+                {
+                    let late = self.rng.random_range(0..60 * S);
+                    self.at(late, event(call));
+                }
+            }
+            Fate::Held(late) => {
+                self.at(late, event(call));
+                self.at(limit, Event::Outcome { node, life, call, command: fail(Failure::Unknown) });
+            }
+            Fate::Refused => {
+                self.at(limit.min(S), Event::Outcome { node, life, call, command: fail(Failure::NotDone) });
+            }
+        }
+    }
+
+    pub(super) fn reply(&mut self, from: Place, node: usize, life: u64, call: u64, command: Command) {
+        self.reply_after(0, from, node, life, call, command);
+    }
+
+    pub(super) fn reply_after(&mut self, lag: u64, from: Place, node: usize, life: u64, call: u64, command: Command) {
+        if let Fate::Arrives(delay) = self.fate(&from, &Place::Node(node)) {
+            let held = from == Place::State && self.now < self.late_answers.0 && self.chance(self.late_answers.1);
+            let late = if held { self.pick(STATE_LIMIT) } else { 0 };
+            self.at(delay + lag + late, Event::Outcome { node, life, call, command });
+        }
+    }
+}
--- a/tests/rules/world/state.rs
+++ b/tests/rules/world/state.rs
@@ -1,5 +1,6 @@
 //! The state service.
 
+use super::{Event as WorldEvent, MS, Place, World};
 use burlhatch::coordination::{Command, Failure, LeaseOutcome, ReadOutcome, StateCall, TxnOutcome};
 use burlhatch::protocol::state::{Changes, Event, Item, Page, Txn, Write};
 use ciborium::Value;
@@ -240,3 +241,61 @@
         }
     }
 }
+
+impl World {
+    pub(super) fn state_request(&mut self, node: usize, life: u64, call: u64, request: StateCall) {
+        let now = self.now;
+        let refused = now < self.state.down_until || self.state.refused.get(&node).is_some_and(|t| *t > now);
+        if refused {
+            let command = match &request {
+                StateCall::Txn { ticket, .. } => {
+                    Command::Txn { ticket: *ticket, outcome: TxnOutcome::Failed(Failure::NotDone) }
+                }
+                other => failed(other, Failure::NotDone),
+            };
+            return self.reply(Place::State, node, life, call, command);
+        }
+        if !self.state.admits_request(now) {
+            let command = match &request {
+                StateCall::Txn { ticket, .. } => Command::Txn { ticket: *ticket, outcome: TxnOutcome::Limited },
+                other => failed(other, Failure::NotDone),
+            };
+            return self.reply(Place::State, node, life, call, command);
+        }
+        self.state.expire(now);
+        if let StateCall::Changes { ticket, after, wait_ms, .. } = &request
+            && *wait_ms > 0
+            && !self.state.has_changed(*after)
+        {
+            self.state.watches.insert(call, Watch { node, life, ticket: *ticket, after: *after });
+            return self.at(wait_ms * MS, WorldEvent::WatchEnds { call });
+        }
+        let command = self.state.answer(now, &request);
+        if let (StateCall::Txn { txn, .. }, Command::Txn { outcome: TxnOutcome::Committed(revision), .. }) =
+            (&request, &command)
+        {
+            for what in self.records.committed(txn, *revision) {
+                self.broken(what);
+            }
+        }
+        self.reply(Place::State, node, life, call, command);
+        self.wake_watches();
+    }
+
+    pub(super) fn wake_watches(&mut self) {
+        let due: Vec<u64> =
+            self.state.watches.iter().filter(|(_, w)| self.state.has_changed(w.after)).map(|(call, _)| *call).collect();
+        for call in due {
+            if let Some(watch) = self.state.watches.remove(&call) {
+                self.answer_watch(call, &watch);
+            }
+        }
+    }
+
+    /// Answers of watches take longer to some controllers than to others.
+    pub(super) fn answer_watch(&mut self, call: u64, watch: &Watch) {
+        let command = Command::Changes { ticket: watch.ticket, outcome: self.state.changes(watch.after) };
+        let lag = self.watch_lag[watch.node];
+        self.reply_after(lag, Place::State, watch.node, watch.life, call, command);
+    }
+}
--- /dev/null
+++ b/tests/rules/world/users.rs
@@ -0,0 +1,336 @@
+//! Users: what they submit, ask and call off, and the rules about what they are told.
+
+use super::{CANCEL_S, Event, MS, S, World};
+use burlhatch::coordination::{Command, Core, UserAnswer, UserRequest};
+use burlhatch::protocol::user::{JobSpec, JobState, JobStatus, Kind, Priority, Submission};
+use burlhatch::units::JobId;
+use rand::Rng;
+
+/// Users who look closely ask everywhere within so long.
+const LOOK_SPAN: u64 = 6 * MS;
+
+/// What is asked in a close look.
+#[derive(Clone, Copy)]
+pub(super) enum Look {
+    Status,
+    Submission,
+    Cancellation,
+}
+
+pub(super) enum Asked {
+    Submit(JobId),
+    Get(JobId),
+    Cancel(JobId),
+    Stranger,
+    /// A job that must not be accepted.
+    Odd(&'static str),
+}
+
+/// What the users know of a job.
+pub struct UserJob {
+    pub spec: JobSpec,
+    pub submitted: u64,
+    pub accepted: bool,
+    pub cancel_at: Option<u64>,
+    pub cancelled: Option<u64>,
+    pub told: Option<JobState>,
+    /// Answers to questions asked before this may still be older.
+    pub(super) told_at: u64,
+    pub done_tasks: Vec<bool>,
+    pub(super) last_asked: u64,
+    /// Last answer about it that was no refusal, and the longest time without one since troubles ended.
+    pub(super) answered: u64,
+    pub gap: u64,
+    /// When its first task started.
+    pub begun: Option<u64>,
+    /// Since when a task of it waits though it could run.
+    pub(super) stranded_since: Option<u64>,
+}
+
+impl World {
+    pub fn submit(&mut self, number: u64, spec: JobSpec) -> JobId {
+        let id = JobId::new(&format!("wk-{number:06}"));
+        let tasks = spec.tasks as usize;
+        self.jobs.insert(
+            id.clone(),
+            UserJob {
+                spec,
+                submitted: self.now,
+                accepted: false,
+                cancel_at: None,
+                cancelled: None,
+                told: None,
+                told_at: 0,
+                done_tasks: vec![false; tasks],
+                last_asked: 0,
+                answered: self.now,
+                gap: 0,
+                begun: None,
+                stranded_since: None,
+            },
+        );
+        id
+    }
+
+    pub fn spec(kind: Kind, team: &str, tasks: u32, cpus: f64) -> JobSpec {
+        JobSpec {
+            class: "any".into(),
+            team: Some(team.into()),
+            kind,
+            priority: if kind == Kind::Service { Priority::Production } else { Priority::Normal },
+            tasks,
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: format!("img-{}", tasks % 3),
+            image_gb: 0.2,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: kind == Kind::Array,
+            estimate_s: if kind == Kind::Service { 0.0 } else { 5.0 },
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+            awaits: Vec::new(),
+        }
+    }
+
+    pub(super) fn ask(&mut self, asked: Asked, request: UserRequest) {
+        let node = self.rng.random_range(0..self.size.nodes);
+        self.ask_node(node, asked, request);
+    }
+
+    pub(super) fn ask_node(&mut self, node: usize, asked: Asked, request: UserRequest) {
+        let ready = self.nodes[node].core.as_ref().is_some_and(Core::is_ready);
+        if !ready {
+            return;
+        }
+        self.nodes[node].next_waiter += 1;
+        let waiter = self.nodes[node].next_waiter;
+        self.nodes[node].users.insert(waiter, (self.now, asked));
+        self.feed(node, Command::User(waiter, request));
+    }
+
+    /// Its user calls a job off, at once.
+    pub fn call_off(&mut self, id: &JobId) {
+        let now = self.now;
+        if let Some(job) = self.jobs.get_mut(id).filter(|j| j.accepted && j.told.is_none()) {
+            job.cancel_at = Some(job.cancel_at.map_or(now, |at| at.min(now)));
+            job.last_asked = 0;
+            let node = self.rng.random_range(0..self.size.nodes);
+            self.ask_node(node, Asked::Cancel(id.clone()), UserRequest::Cancel(id.clone()));
+        }
+    }
+
+    pub(super) fn users_step(&mut self) {
+        self.note_gaps();
+        if self.now / S != (self.now - 250 * MS) / S {
+            self.note_stranded();
+        }
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let now = self.now;
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if job.submitted > now || now < job.last_asked + S {
+                continue;
+            }
+            let awaits = job.spec.awaits.clone();
+            if !awaits.iter().all(|before| self.jobs.get(before).is_none_or(|b| b.accepted)) {
+                continue;
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let cancel = job.cancel_at.is_some_and(|at| at <= now) && job.cancelled.is_none() && job.accepted;
+            let over = job.told.is_some();
+            if !job.accepted || (!over && cancel) || now >= job.last_asked + 5 * S {
+                job.last_asked = now;
+                let spec = job.spec.clone();
+                let accepted = job.accepted;
+                // Repeats of an accepted submission may come at any time.
+                let again = accepted && self.chance(10);
+                if !accepted || again {
+                    let submission = Submission { id: Some(id.clone()), spec: Some(spec) };
+                    self.ask(Asked::Submit(id.clone()), UserRequest::Submit(Box::new(submission)));
+                    self.look_at_submission(&id);
+                } else if cancel {
+                    self.ask(Asked::Cancel(id.clone()), UserRequest::Cancel(id.clone()));
+                } else {
+                    self.ask(Asked::Get(id.clone()), UserRequest::Get(id.clone()));
+                }
+            }
+        }
+        if self.odd_requests {
+            self.odd_request();
+        }
+        if self.chance(20) {
+            self.ask(Asked::Stranger, UserRequest::Get(JobId::new("wk-999999")));
+        }
+        self.at(250 * MS, Event::Users);
+    }
+
+    pub(super) fn look(&mut self, node: usize, id: JobId, look: Look) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        match look {
+            Look::Status => self.ask_node(node, Asked::Get(id.clone()), UserRequest::Get(id)),
+            Look::Cancellation => self.ask_node(node, Asked::Cancel(id.clone()), UserRequest::Cancel(id)),
+            Look::Submission => {
+                let submission = Submission { id: Some(id.clone()), spec: Some(job.spec.clone()) };
+                self.ask_node(node, Asked::Submit(id), UserRequest::Submit(Box::new(submission)));
+            }
+        }
+    }
+
+    pub(super) fn look_soon(&mut self, node: usize, id: &JobId, look: Look) {
+        let delay = self.pick(LOOK_SPAN);
+        self.at(delay, Event::Look { node, id: id.clone(), look });
+    }
+
+    /// A submission is on its way: it is repeated here and there before it is answered.
+    pub(super) fn look_at_submission(&mut self, id: &JobId) {
+        for node in 0..self.size.nodes {
+            if self.close_looks && self.chance(4) {
+                self.look_soon(node, id, Look::Submission);
+            }
+        }
+    }
+
+    /// A user was told something new about a job: all controllers are asked for it.
+    pub(super) fn look_at_news(&mut self, id: &JobId) {
+        if !self.close_looks {
+            return;
+        }
+        let over = self.jobs[id].told.is_some();
+        for node in 0..self.size.nodes {
+            self.look_soon(node, id, Look::Status);
+            self.look_soon(node, id, Look::Submission);
+            if over && self.chance(3) {
+                self.look_soon(node, id, Look::Cancellation);
+            }
+        }
+    }
+
+    /// When a job was called off, by its own user or with one that it needs, as `when` tells it of each.
+    pub(super) fn called_off(&self, id: &JobId, when: impl Fn(&UserJob) -> Option<u64> + Copy) -> Option<u64> {
+        let job = self.jobs.get(id)?;
+        let before = job.spec.awaits.iter().filter_map(|before| self.called_off(before, when));
+        before.chain(when(job)).min()
+    }
+
+    pub(super) fn odd_request(&mut self) {
+        let known: Vec<JobId> = self.jobs.iter().filter(|(_, j)| j.accepted).map(|(id, _)| id.clone()).collect();
+        let mut spec = World::spec(Kind::Array, "red", 2, 1.0);
+        let what = match self.pick(6) {
+            0 if !known.is_empty() => {
+                // A known job has its state, whatever the repeat holds.
+                let id = known[self.pick(known.len() as u64) as usize].clone();
+                let spec = if self.chance(2) { None } else { Some(World::spec(Kind::Gang, "nobody", 9, 99.0)) };
+                let submission = Submission { id: Some(id.clone()), spec };
+                return self.ask(Asked::Submit(id), UserRequest::Submit(Box::new(submission)));
+            }
+            1 => {
+                spec.cpus = 99.0;
+                "a task fits no machine"
+            }
+            2 => {
+                spec.awaits = vec![JobId::new("wk-nobody")];
+                "what it awaits was never accepted"
+            }
+            3 => {
+                spec = World::spec(Kind::Gang, "red", 30, 1.0);
+                "its team's limit is lower"
+            }
+            _ => "a field is missing",
+        };
+        let spec = (what != "a field is missing").then_some(spec);
+        let id = JobId::new(&format!("wk-odd{}", self.pick(50)));
+        self.ask(Asked::Odd(what), UserRequest::Submit(Box::new(Submission { id: Some(id), spec })));
+    }
+
+    pub(super) fn user_answer(&mut self, node: usize, waiter: u64, answer: UserAnswer) {
+        if waiter == u64::MAX {
+            self.overheard = Some(answer);
+            return;
+        }
+        let Some((asked_at, asked)) = self.nodes[node].users.remove(&waiter) else { return };
+        let (id, cancels) = match asked {
+            Asked::Stranger => {
+                if matches!(answer, UserAnswer::Status(_) | UserAnswer::Accepted(_)) {
+                    self.broken("invented: a stranger's job is known".into());
+                }
+                return;
+            }
+            Asked::Odd(what) => {
+                if matches!(answer, UserAnswer::Status(_) | UserAnswer::Accepted(_)) {
+                    self.broken(format!("invented: accepted, though {what}"));
+                }
+                return;
+            }
+            Asked::Cancel(id) => (id, true),
+            Asked::Submit(id) | Asked::Get(id) => (id, false),
+        };
+        let now = self.now;
+        let called_off = self.called_off(&id, |job| job.cancel_at.filter(|at| *at <= now));
+        let orphaned = self.called_off(&id, |job| job.cancelled).is_some_and(|at| asked_at > at + CANCEL_S * S);
+        let cancel_at_once = self.cancel_at_once > 0 && self.chance(self.cancel_at_once);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let before = (job.accepted, job.told);
+        let mut broken = Vec::new();
+        // Whoever is told that a job was taken is told that it is queued.
+        let answer = match answer {
+            UserAnswer::Accepted(id) => {
+                UserAnswer::Status(JobStatus { id, state: JobState::Queued, done: None, running: None })
+            }
+            answer => answer,
+        };
+        match answer {
+            UserAnswer::Status(status) => {
+                job.accepted = true;
+                job.answered = now;
+                if status.state == JobState::Done && job.done_tasks.iter().any(|d| !d) {
+                    broken.push(format!("not_done: {id} is called done"));
+                }
+                if orphaned && matches!(status.state, JobState::Queued | JobState::Running) {
+                    broken.push(format!("orphaned: {id} is still called {:?}", status.state));
+                }
+                if status.state == JobState::Cancelled && called_off.is_none() {
+                    broken.push(format!("went_back: {id} was not cancelled by its user"));
+                }
+                if asked_at >= job.told_at && job.told.is_some_and(|told| told != status.state) {
+                    broken.push(format!("went_back: {id} was {:?}, is {:?}", job.told, status.state));
+                }
+                let is_final = matches!(status.state, JobState::Done | JobState::Cancelled);
+                if is_final && job.told.is_none() {
+                    (job.told, job.told_at) = (Some(status.state), now);
+                }
+                if status.state == JobState::Cancelled && job.cancelled.is_none() {
+                    job.cancelled = Some(now);
+                }
+                if cancels && !matches!(status.state, JobState::Done | JobState::Cancelled) {
+                    broken.push(format!("a cancellation of {id} was answered {:?}", status.state));
+                }
+            }
+            UserAnswer::NotFound | UserAnswer::Malformed | UserAnswer::CanNeverRun(_) => {
+                if job.accepted {
+                    broken.push(format!("forgotten: {id} is answered {answer:?}"));
+                }
+            }
+            UserAnswer::Accepted(_) | UserAnswer::Unavailable { .. } => {}
+        }
+        let cancels_now = !before.0 && job.accepted && cancel_at_once && job.told.is_none();
+        if cancels_now {
+            job.cancel_at = Some(now);
+        }
+        let news = before != (job.accepted, job.told);
+        for what in broken {
+            self.broken(what);
+        }
+        if news {
+            self.look_at_news(&id);
+        }
+        if cancels_now {
+            let node = self.pick(self.size.nodes as u64) as usize;
+            self.look_soon(node, &id, Look::Cancellation);
+        }
+    }
+}
