--- a/src/coordination/submissions.rs
+++ b/src/coordination/submissions.rs
@@ -3,8 +3,9 @@
 //! Who repeats a submission waits with those who sent it before. The batch's commit answers whoever asked before the
 //! batch was sent; whoever came later needs evidence of their own.
 //!
-//! A job comes into the replica only as the records bring it, not with the own commit: another controller may have taken
-//! the same submission, perhaps with something else in it, in an earlier batch that was not read yet. The earlier counts.
+//! A job comes into the replica in the order of the records, with the own commit only where that is the next revision:
+//! another controller may have taken the same submission, perhaps with something else in it, in an earlier batch that
+//! was not read yet. The earlier counts.
 
 use super::evidence::Fresh;
 use super::txns::{CONDITIONS_PER_WRITE, Draft, Purpose, TxnEnd};
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -332,20 +332,24 @@
     }
 
     /// Own commits are known before the watch brings them. Roles wait for the watch: holding
-    /// one must imply having seen everything before it. So do jobs: of two batches the earlier counts. A commit that the replica has passed already is in it, with
+    /// one must imply having seen everything before it. So do jobs, unless nothing lies between: of two batches the
+    /// earlier counts. A commit that the replica has passed already is in it, with
     /// whatever happened to its keys since.
     fn apply_own(&mut self, txn: &Txn, revision: u64) {
         if revision <= self.replica.applied.0 {
             return;
         }
+        let is_next = revision == self.replica.applied.0 + 1;
         let mut changes = Vec::new();
         for write in &txn.writes {
             let (key, value) = match write {
                 Write::Put { key, value, .. } => (key, Some(value)),
                 Write::Delete { key } => (key, None),
             };
-            if !matches!(Key::parse(key), Some(Key::Role(_) | Key::Term | Key::Batch(_)) | None) {
-                changes.push(self.replica.apply(key, value, revision));
+            match Key::parse(key) {
+                Some(Key::Role(_) | Key::Term) | None => {}
+                Some(Key::Batch(_)) if !is_next => self.reads.wanted = true,
+                Some(_) => changes.push(self.replica.apply(key, value, revision)),
             }
         }
         self.changed(changes);
