Cancelled tasks are cleared away also where nobody holds their share in an outage

Cause: a holder that had said that it knows of a cancellation handed the share back, and the state service went away before anybody took it.

--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -225,7 +225,7 @@
         let mut deadlines = std::mem::take(&mut self.cancellations.deadlines);
         deadlines.retain(|id, deadline| {
             let Some(job) = self.jobs.get(id).filter(|j| j.live.occupying() > 0) else { return false };
-            if *deadline > now || self.held(Role::Share(job.share)).is_none() {
+            if *deadline > now || !self.clears_share(job.share) {
                 return true;
             }
             for live in job.live.values().filter(|l| l.occupies() && l.phase() != Phase::Decided) {
@@ -251,6 +251,13 @@
         }
     }
 
+    /// Whether this controller has to see to it that a share's cancelled tasks are gone: it holds the share; or nobody
+    /// does, and as long as the state service is away nobody can take it.
+    fn clears_share(&self, share: u32) -> bool {
+        let role = Role::Share(share);
+        self.held(role).is_some() || (!self.replica.roles.contains_key(&role) && !self.reaches_state())
+    }
+
     /// Whether it was deleted here, though the stored records don't say so yet.
     pub(super) fn is_cleared(&self, id: &MachineId) -> bool {
         self.cancellations.cleared.contains_key(id)
