A share whose own machines are all lost no longer goes to and fro

Now contact is lost only if nobody else's machines answer for 2 s; patience grows with each time, up to half a lease; a sibling counts as back only from when it reaches machines again.

--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -3,7 +3,7 @@
 use super::Core;
 use super::machines::Machine;
 use super::usage::Phase;
-use crate::bookkeeping::schema::Hold;
+use crate::bookkeeping::schema::{Hold, Role};
 use crate::protocol::worker::DirectOrders;
 use crate::units::{MachineId, Micros, Term};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,6 +11,9 @@
 /// With fewer silent machines in a zone nothing is concluded about the zone.
 const ZONE_LOST_LEAST: usize = 3;
 
+/// Machines that are asked at a time whether it is this controller that has lost contact.
+const LOOKED_AT: usize = 6;
+
 /// Machines of a zone that are asked each time machines are looked over, while one of it fails to answer.
 const WIDENED: usize = 3;
 
@@ -177,12 +180,19 @@
         self.send_direct(id, addr, DirectOrders { token: Term(0), session: 0, orders: Vec::new() });
     }
 
-    /// Asks a few machines of whatever share for a sign of life. The token 0 moves nobody to
-    /// anything.
+    /// Asks a few machines for a sign of life, of shares that are not held here if there are any. The token 0 moves
+    /// nobody to anything.
     pub(super) fn look_for_machines(&mut self) {
-        let every = (self.replica.machines.len() / 4).max(1);
-        let ids: Vec<MachineId> = self.replica.machines.keys().step_by(every).cloned().collect();
-        for id in ids {
+        let machines = &self.replica.machines;
+        let is_ours = |share: u32| self.held(Role::Share(share)).is_some();
+        let mut ids: Vec<&MachineId> =
+            machines.iter().filter(|(_, m)| !is_ours(m.value.share)).map(|(id, _)| id).collect();
+        if ids.is_empty() {
+            ids = machines.keys().collect();
+        }
+        let every = ids.len().div_ceil(LOOKED_AT).max(1);
+        let asked: Vec<MachineId> = ids.into_iter().step_by(every).cloned().collect();
+        for id in asked {
             let Some(machine) = self.machines.get(&id) else { continue };
             if let Some(addr) = machine.addr.filter(|_| !machine.direct) {
                 self.send_direct(&id, addr, DirectOrders { token: Term(0), session: 0, orders: Vec::new() });
--- a/src/coordination/roles.rs
+++ b/src/coordination/roles.rs
@@ -28,7 +28,7 @@
     free_since: BTreeMap<Role, Micros>,
     /// Roles held, with the terms under which they were last seen.
     pub held: BTreeMap<Role, Term>,
-    /// Since when each sibling's node key has been seen.
+    /// Since when each sibling has been seen to be there and to reach its machines.
     siblings_since: BTreeMap<String, Micros>,
     taking: bool,
     node_writing: bool,
@@ -40,8 +40,23 @@
     next_look: Micros,
     /// Since when other shares' machines are asked whether it is our own that are lost.
     pub looking_since: Option<Micros>,
+    /// How often this controller became unfit lately, and when it last was.
+    unfit_times: u32,
+    last_unfit: Micros,
 }
 
+/// While most of our machines are silent, others are asked for a sign of life this often.
+const LOOK_EVERY: Micros = Micros::from_millis(1000);
+/// Without an answer of any other machine for so long, contact is lost.
+const LOOK_SPAN: Micros = Micros::from_millis(2000);
+/// If there are no other machines to ask, fewer of ours than this say nothing about ourselves.
+const OWN_MACHINES_LEAST: usize = 3;
+/// A controller that became unfit counts this as one of several times for so long.
+const UNFIT_REMEMBERED: Micros = Micros::from_millis(300_000);
+/// Patience doubles with each time up to this often, and is never longer than this part of a lease.
+const UNFIT_DOUBLINGS: u32 = 4;
+const LEASE_PART: f64 = 0.5;
+
 impl Core {
     pub(super) fn shares(&self) -> u32 {
         self.platform.deployment.nodes
@@ -240,8 +255,10 @@
     fn note_siblings(&mut self) {
         let now = self.now();
         let nodes = &self.replica.nodes;
-        self.roles.siblings_since.retain(|label, _| nodes.contains_key(label));
-        for label in nodes.keys().filter(|l| **l != self.label) {
+        // One that could not reach its machines counts from when it can again.
+        let fit = |label: &String| nodes.get(label).is_some_and(|node| !node.value.unfit);
+        self.roles.siblings_since.retain(|label, _| fit(label));
+        for label in nodes.keys().filter(|l| **l != self.label && fit(l)) {
             self.roles.siblings_since.entry(label.clone()).or_insert(now);
         }
     }
@@ -256,7 +273,6 @@
         let now = self.now();
         let idle = self.roles.siblings_since.iter().find(|(label, since)| {
             now.since(**since) >= patience
-                && self.replica.nodes.get(*label).is_some_and(|n| !n.value.unfit)
                 && !self.replica.roles.iter().any(|(s, r)| matches!(s, Role::Share(_)) && r.value.owner == **label)
         });
         if idle.is_none() {
@@ -290,12 +306,12 @@
                 tracing::info!("machines can be reached again");
                 self.roles.unfit = false;
             } else if now >= self.roles.next_look {
-                self.roles.next_look = now + Micros::from_millis(1000);
+                self.roles.next_look = now + LOOK_EVERY;
                 self.look_for_machines();
             }
             return;
         }
-        let patience = Micros::from_millis(self.policy.lose_contact_ms);
+        let patience = self.contact_patience();
         let unreachable = |m: &Machine| m.is_unreachable(now, self.policy.unreachable_probes, patience);
         let silent = |id: &&MachineId| {
             let lost = |m: &Machine| (m.probes_failed >= 2 && now.since(m.heard) >= patience) || unreachable(m);
@@ -306,23 +322,46 @@
             self.roles.looking_since = None;
             return;
         }
-        // A few machines may well be lost together; then those of other shares tell.
+        if self.contact_is_lost(ours.len()) {
+            self.roles.unfit = true;
+            self.roles.unfit_times += 1;
+            self.roles.last_unfit = now;
+            self.roles.answered = 0;
+            self.roles.looking_since = None;
+        }
+    }
+
+    /// A whole share's machines may well be lost together, with their zone or on their own. Then machines of other
+    /// shares answer, and a sibling would reach ours no better: the share would only go to and fro.
+    fn contact_is_lost(&mut self, ours: usize) -> bool {
+        let now = self.now();
+        if self.replica.machines.len() <= ours {
+            return ours >= OWN_MACHINES_LEAST;
+        }
         let since = match self.roles.looking_since {
             Some(since) => since,
             None => {
-                self.roles.looking_since = Some(now);
                 self.roles.answered = 0;
-                self.look_for_machines();
-                now
+                self.roles.next_look = now;
+                *self.roles.looking_since.insert(now)
             }
         };
-        let others = self.replica.machines.len() > ours.len();
-        let none_answers = others && self.roles.answered == 0 && now.since(since) >= Micros::from_millis(2000);
-        if ours.len() >= 3 || none_answers {
-            self.roles.unfit = true;
-            self.roles.answered = 0;
-            self.roles.looking_since = None;
+        if now >= self.roles.next_look {
+            self.roles.next_look = now + LOOK_EVERY;
+            self.look_for_machines();
+        }
+        self.roles.answered == 0 && now.since(since) >= LOOK_SPAN
+    }
+
+    /// How long most machines must have been silent. It grows if that happens again and again, but a share must be
+    /// given away while the leases of its machines last.
+    fn contact_patience(&mut self) -> Micros {
+        if self.now().since(self.roles.last_unfit) >= UNFIT_REMEMBERED {
+            self.roles.unfit_times = 0;
         }
+        let first = Micros::from_millis(self.policy.lose_contact_ms);
+        let most = Micros::from_secs_f64(self.platform.deployment.workers.lease_s * LEASE_PART).max(first);
+        Micros(first.0 << self.roles.unfit_times.min(UNFIT_DOUBLINGS)).min(most)
     }
 
     fn release(&mut self, role: Role) {
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod cancellations;
 mod meetings;
+mod on_call;
 mod pipelines;
 mod upgrade;
 mod world;
--- a/tests/rules/world/checks.rs
+++ b/tests/rules/world/checks.rs
@@ -1,6 +1,7 @@
 //! What holds while nothing is in the way, and what scenarios look at.
 
 use super::{MS, S, World};
+use burlhatch::bookkeeping::Replica;
 use burlhatch::bookkeeping::schema::ROOT;
 use burlhatch::protocol::user::Kind;
 use burlhatch::units::{JobId, MachineId};
@@ -69,13 +70,23 @@
         self.state.keys.keys().filter(|k| k.starts_with(ROOT)).cloned().collect()
     }
 
-    /// Machines in the stored records, whether by a key of their own or by a fleet's.
-    pub fn stored_machines(&self) -> Vec<MachineId> {
-        let mut replica = burlhatch::bookkeeping::Replica::default();
+    fn stored(&self) -> Replica {
+        let mut replica = Replica::default();
         for (key, (value, version, _)) in &self.state.keys {
             replica.apply(key, Some(value), *version);
         }
-        replica.machines.keys().cloned().collect()
+        replica
+    }
+
+    /// Machines in the stored records, whether by a key of their own or by a fleet's.
+    pub fn stored_machines(&self) -> Vec<MachineId> {
+        self.stored().machines.into_keys().collect()
+    }
+
+    /// Machines of one share in the stored records.
+    pub fn machines_of_share(&self, share: u32) -> Vec<MachineId> {
+        let in_share = self.stored().machines.into_iter().filter(|(_, record)| record.value.share == share);
+        in_share.map(|(id, _)| id).collect()
     }
 
     /// Shares that nobody holds at this moment.
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// A machine hangs, whichever it is.
+    pub fn hang_machine(&mut self, id: &MachineId, duration: u64) {
+        let until = self.now + duration;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.hung_until = until;
+        }
+    }
+
     pub fn kill_machine(&mut self, nth: usize) {
         if let Some(id) = self.nth_worker(nth) {
             self.workers.remove(&id);
