Jobs that fail on every machine back off by job and cost others nothing

Cause: failures were counted per task and a single success anywhere reset them, so a broken array of a hundred tasks started all of them every twenty seconds; two such jobs on an idle machine had it emptied; their waiting tasks counted as need for machines and made other work leave. Now a job without any success that failed on two machines, or in three rounds, is tried one task at a time, more once one gets further; a machine is suspect only if what failed there is done or gets further elsewhere, or has nowhere else to go. Ruled out: telling broken jobs by exit cause, which is the same on a faulty machine.

--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -20,6 +20,15 @@
     pub untouched: bool,
 }
 
+impl Slot {
+    /// Whether a job may run there, wherever its other tasks are.
+    fn is_allowed_for(&self, spec: &JobSpec) -> bool {
+        spec.types.as_ref().is_none_or(|types| types.contains(&self.machine_type))
+            && spec.zone.as_ref().is_none_or(|zone| *zone == self.zone)
+            && (spec.spot || !self.spot)
+    }
+}
+
 /// Tasks that found no room in the plan.
 #[derive(Clone)]
 pub(super) struct Unmet {
@@ -122,7 +131,7 @@
             }
         }
         for job in &jobs {
-            let waiting = u64::from(job.waiting());
+            let waiting = self.worth_capacity(job, slots);
             let mut count = waiting;
             if let Some(team) = job.spec.team.as_deref() {
                 let sum = used.entry(team).or_default();
@@ -153,6 +162,20 @@
         unmet.extend(self.worth_machines(batch, &jobs));
     }
 
+    /// Waiting tasks of a job that machines may be rented or moved for. A job that fails wherever it runs gets none, but
+    /// one to be tried on if there is none at all that it may run on.
+    fn worth_capacity(&self, job: &Job, slots: &[Slot]) -> u64 {
+        if !job.is_failing() {
+            return u64::from(job.waiting());
+        }
+        let need = job.spec.room();
+        let could_hold = |slot: &Slot| {
+            let room = slot.id.as_ref().map_or(slot.free, |id| self.machine_room(id));
+            slot.is_allowed_for(&job.spec) && need.fits_in(&room)
+        };
+        u64::from(job.waiting() > 0 && !slots.iter().any(could_hold))
+    }
+
     /// How many tasks of a job each zone has, if that binds the others.
     fn zones_of(&self, job: &Job) -> BTreeMap<String, u64> {
         let mut zones = BTreeMap::new();
@@ -402,10 +425,7 @@
         if placed == count {
             break;
         }
-        let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&slot.machine_type))
-            && spec.zone.as_ref().is_none_or(|z| *z == slot.zone)
-            && (spec.spot || !slot.spot)
-            && (!spec.one_zone || zones.keys().all(|z| *z == slot.zone));
+        let allowed = slot.is_allowed_for(spec) && (!spec.one_zone || zones.keys().all(|z| *z == slot.zone));
         if !allowed {
             continue;
         }
--- a/src/coordination/draining.rs
+++ b/src/coordination/draining.rs
@@ -1,27 +1,23 @@
 //! Machines that tasks have to leave: faulty ones, those to be returned, and those about to be taken.
 
 use super::Core;
-use super::machines::Failures;
-use super::usage::Phase;
-use crate::bookkeeping::schema::Hold;
+use super::machines::{Failures, Machine};
+use super::usage::{Phase, Start};
+use crate::bookkeeping::schema::{Hold, Outcome};
 use crate::protocol::user::Kind;
 use crate::units::{JobId, MachineId};
 
+/// A job that failed so often on one machine, and on no other, was tried there again after a pause.
+const FAILED_AGAIN: u32 = 2;
+
 impl Core {
-    /// Tasks of different jobs failing on one machine speak against the machine.
+    /// Tasks of different jobs that fail on one machine and get on elsewhere speak against the machine.
     pub(super) fn retire_faulty(&mut self, ours: &[MachineId]) {
         for id in ours {
-            let Some(machine) = self.machines.get(id) else { continue };
-            let most = self.policy.faulty_after;
-            // One job alone speaks against the machine if it fails again and again there and has
-            // failed nowhere else; one that fails everywhere speaks against itself.
-            let alone = |job: &JobId, f: &Failures| {
-                f.count > most * 2
-                    && !self.machines.iter().any(|(other, m)| other != id && m.failed_jobs.contains_key(job))
+            let Some(machine) = self.machines.get(id).filter(|machine| !machine.failed_jobs.is_empty()) else {
+                continue;
             };
-            let faulty = machine.failed_jobs.len() >= most as usize
-                || machine.failed_jobs.iter().any(|(job, failures)| alone(job, failures));
-            if !faulty {
+            if !self.is_faulty(id, machine) {
                 continue;
             }
             let hold = self.replica.machines.get(id).and_then(|m| m.value.hold);
@@ -32,6 +28,34 @@
         }
     }
 
+    fn is_faulty(&self, id: &MachineId, machine: &Machine) -> bool {
+        let several = self.policy.faulty_after as usize;
+        let failed = || machine.failed_jobs.iter();
+        let proven = || failed().filter(|(job, failures)| self.gets_on_elsewhere(id, job, failures));
+        // One job alone does if it fails again and again there, and on no other machine.
+        let elsewhere =
+            |job: &JobId| self.machines.iter().any(|(other, m)| other != id && m.failed_jobs.contains_key(job));
+        let again_and_again = |f: &Failures| f.count > self.policy.faulty_after * 2;
+        if proven().count() >= several || proven().any(|(job, f)| again_and_again(f) && !elsewhere(job)) {
+            return true;
+        }
+        // Jobs that were tried here again, as they can't run anywhere else.
+        let bound_to_it = |job: &JobId| self.jobs.get(job).is_some_and(|job| job.failures.failed_only_on(id));
+        failed().filter(|(job, f)| f.count >= FAILED_AGAIN && bound_to_it(job)).count() >= several
+    }
+
+    /// Whether a job that failed on a machine is not itself at fault: the same task is done by now, or has run for
+    /// longer on another machine than any that failed.
+    fn gets_on_elsewhere(&self, id: &MachineId, job_id: &JobId, failures: &Failures) -> bool {
+        let Some(job) = self.jobs.get(job_id) else {
+            return self.replica.ends.get(job_id).is_some_and(|end| end.value.outcome == Outcome::Done);
+        };
+        let chunks = self.replica.runs.get(job_id);
+        let chunk = chunks.and_then(|chunks| chunks.get(&(failures.task / self.chunk_tasks))).map(|c| &c.value);
+        let runs_on = |start: &Start| start.machine() != id && job.failures.got_further(start, self.now());
+        job.is_task_done(failures.task, chunk) || job.live.get(failures.task).is_some_and(runs_on)
+    }
+
     /// A machine to be returned is emptied first.
     pub(super) fn drain_retired(&mut self, ours: &[MachineId]) {
         for id in ours {
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs and their starts, kept in line with the replica and with what machines report.
 
 use super::Core;
+use super::failures::{Failure, FailureHistory};
 use super::pipelines::Urgency;
 use super::usage::{JobStarts, Phase, Start, Usage};
 use crate::bookkeeping::schema::{JobRecord, Outcome, RunChunk};
@@ -11,6 +12,9 @@
 use std::ops::Range;
 use std::sync::Arc;
 
+/// A start that a worker refused is tried again after this.
+const REFUSED_PAUSE: Micros = Micros::from_millis(500);
+
 pub(super) struct Job {
     pub spec: Arc<JobSpec>,
     pub accepted: Micros,
@@ -25,7 +29,7 @@
     /// Tasks before that which need another start.
     pub redo: BTreeSet<u32>,
     pub not_before: BTreeMap<u32, Micros>,
-    pub failures: u32,
+    pub failures: FailureHistory,
     /// A transaction on it is on its way.
     pub locked: bool,
     /// Since when something waits to be taken out of the stored records.
@@ -60,7 +64,7 @@
             fresh_from: 0,
             redo: BTreeSet::new(),
             not_before: BTreeMap::new(),
-            failures: 0,
+            failures: FailureHistory::default(),
             locked: false,
             dirty_since: None,
             progress_since: None,
@@ -88,7 +92,22 @@
         }
     }
 
-    /// Next task that may start now. `room` says whether a chunk of the stored records can name one more start.
+    /// Whether it fails wherever it runs, as far as is known: nothing is done for it at others' cost.
+    pub fn is_failing(&self) -> bool {
+        self.done == 0 && self.failures.is_failing()
+    }
+
+    /// Whether one more of its tasks may be started.
+    pub fn may_start(&self, now: Micros) -> bool {
+        !self.is_failing() || self.failures.may_start(&self.live, now)
+    }
+
+    /// Whether a task is done, recorded or not.
+    pub fn is_task_done(&self, task: u32, chunk: Option<&RunChunk>) -> bool {
+        self.done_unrecorded.contains(&task) || chunk.is_some_and(|chunk| chunk.is_done(task))
+    }
+
+    /// Next task that may start now, those that failed after all others. `room` says whether a chunk of the stored records can name one more start.
     pub fn next_task(&self, now: Micros, chunk_tasks: u32, room: impl Fn(u32) -> bool) -> Option<u32> {
         if self.held {
             return None;
@@ -104,14 +123,18 @@
             fits
         };
         let ripe = |t: &u32| self.not_before.get(t).is_none_or(|at| *at <= now);
-        let again = self.redo.iter().copied().filter(ripe).find(|t| fits(*t));
+        let mut again = |failed: bool| {
+            let tasks = self.redo.iter().copied().filter(|t| self.failures.has_failed(*t) == failed);
+            tasks.filter(ripe).find(|t| fits(*t))
+        };
         // Where a chunk is full the next one's tasks go first; those left out come in their turn.
         let fresh = || {
             let rest = self.fresh_from / chunk_tasks..self.spec.tasks.div_ceil(chunk_tasks);
             let chunk = rest.into_iter().find(|chunk| room(*chunk))?;
             Some(self.fresh_from.max(chunk * chunk_tasks))
         };
-        again.or_else(|| if self.fresh_from < self.spec.tasks { fresh() } else { None })
+        let untried = again(false).or_else(|| if self.fresh_from < self.spec.tasks { fresh() } else { None });
+        untried.or_else(|| again(true))
     }
 
     pub fn take_task(&mut self, task: u32) {
@@ -327,26 +350,24 @@
             return;
         }
         let machine = live.machine().clone();
+        let ran = live.running_since.map_or(Micros::ZERO, |since| now.since(since));
         if why != ExitCause::Done {
             tracing::debug!(job = %id, task, %machine, phase = ?live.phase(), ?why, "ended early");
         }
         job.live.set_phase(task, Phase::Ended(why), &mut self.usage);
-        let pause = match why {
+        let not_before = match why {
             ExitCause::Done => {
                 job.done_unrecorded.insert(task);
                 job.progress_since.get_or_insert(now);
-                job.failures = 0;
+                job.failures.succeeded(task);
                 None
             }
-            ExitCause::Error => {
-                job.failures += 1;
-                Some(Micros::from_millis(500 << job.failures.min(8)).min(retry_max))
-            }
-            ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown => Some(Micros::from_millis(500)),
+            ExitCause::Error => Some(job.failures.failed(&Failure { task, machine: &machine, ran }, now, retry_max)),
+            ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown => Some(now + REFUSED_PAUSE),
             ExitCause::Stopped | ExitCause::Peers | ExitCause::Alone => None,
         };
-        if let Some(pause) = pause {
-            job.not_before.insert(task, now + pause);
+        if let Some(at) = not_before {
+            job.not_before.insert(task, at);
         }
         job.dirty(now);
         if job.spec.kind == Kind::Gang && why != ExitCause::Done {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -30,6 +30,8 @@
 pub(super) struct Failures {
     pub count: u32,
     pub last: Micros,
+    /// The last of them.
+    pub task: u32,
 }
 
 impl UnrecordedTask {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 mod draining;
 mod evidence;
 mod failure_detector;
+mod failures;
 mod jobs;
 mod leader;
 mod machine_terms;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -250,6 +250,9 @@
         // Locked jobs are left alone while a transaction is on its way, so one takes all it can.
         loop {
             let Some(job) = self.jobs.get(id) else { return };
+            if !job.may_start(now) {
+                return;
+            }
             let next = job.next_task(now, self.chunk_tasks, |chunk| self.chunk_has_room(id, job, chunk));
             let Some(task) = next else {
                 if let Some(job) = self.jobs.get_mut(id) {
@@ -278,7 +281,7 @@
     fn place_gang(&mut self, id: &JobId, spots: &mut [Spot]) {
         let Some(job) = self.jobs.get(id) else { return };
         let named = |chunk| self.chunk_has_room(id, job, chunk);
-        if !job.live.is_empty() || job.waiting() < job.spec.tasks || !named(0) {
+        if !job.live.is_empty() || job.waiting() < job.spec.tasks || !named(0) || !job.may_start(self.now()) {
             return;
         }
         let tasks = job.spec.tasks;
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -25,6 +25,9 @@
         if job.spec.priority <= Priority::Normal || now < job.preempting_until || job.spec.kind == Kind::Gang {
             return;
         }
+        if job.is_failing() {
+            return;
+        }
         let mut allowance = self.allowance(job, None);
         let mut chances: Vec<(Loss, &Spot, Victims)> = spots
             .iter()
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -291,10 +291,10 @@
             match why {
                 ExitCause::Done => machine.failed_jobs.clear(),
                 ExitCause::Error => {
-                    let failures =
-                        machine.failed_jobs.entry(task.job.clone()).or_insert(Failures { count: 0, last: now });
+                    let none = Failures { count: 0, last: now, task: task.index };
+                    let failures = machine.failed_jobs.entry(task.job.clone()).or_insert(none);
                     failures.count += 1;
-                    failures.last = now;
+                    (failures.last, failures.task) = (now, task.index);
                 }
                 _ => {}
             }
--- a/tests/rules/on_call.rs
+++ b/tests/rules/on_call.rs
@@ -3,7 +3,8 @@
 
 use super::world::{MS, Place, S, SMALL, Size, World};
 use super::{cancel_services, finish, keeping_idle_machines, ordinary_jobs, seeds};
-use burlhatch::protocol::user::Kind;
+use burlhatch::protocol::user::{JobState, Kind};
+use burlhatch::units::{JobId, MachineId};
 
 /// How often it is looked at who holds a share.
 const LOOK_EVERY: u64 = 20 * MS;
@@ -70,3 +71,99 @@
         finish(&mut world, &format!("cut again {seed}"));
     }
 }
+
+const TEAMS: [&str; 3] = ["red", "blue", "green"];
+
+/// Jobs that fail on every machine after so long at work: arrays, a gang, and a service.
+fn submit_broken(world: &mut World, from: u64, fails_after: u64) -> Vec<JobId> {
+    let shapes = [(Kind::Array, 8), (Kind::Array, 20), (Kind::Array, 1), (Kind::Gang, 3), (Kind::Service, 2)];
+    let mut ids = Vec::new();
+    for (n, (kind, tasks)) in shapes.into_iter().enumerate() {
+        let id = world.submit(from + n as u64, World::spec(kind, TEAMS[n % 3], tasks, 1.0));
+        world.jobs.get_mut(&id).expect("submitted").fails_after = Some(fails_after);
+        ids.push(id);
+    }
+    ids
+}
+
+fn call_off_all(world: &mut World, ids: &[JobId]) {
+    ids.iter().for_each(|id| world.call_off(id));
+}
+
+/// Jobs with a mistake fail wherever they run until their users cancel them. They are tried ever more rarely and one
+/// task at a time; no machine is suspected, emptied or rented for them, and other jobs are done as ever.
+#[test]
+fn jobs_that_fail_everywhere_cost_the_others_nothing() {
+    for seed in seeds(62, 4) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        world.run_for(5 * S);
+        let services: Vec<JobId> =
+            (0..3).map(|n| world.submit(900 + n, World::spec(Kind::Service, TEAMS[n as usize], 2, 1.0))).collect();
+        world.run_for(15 * S);
+        let broken = submit_broken(&mut world, 1, (seed % 4) * S);
+        world.run_for(60 * S);
+        let starts = |world: &World| broken.iter().map(|id| world.jobs[id].starts).sum::<u32>();
+        let (before, rented) = (world.workers.keys().cloned().collect::<Vec<MachineId>>(), world.cloud.machines.len());
+        let (begun, all) = (starts(&world), world.started);
+        let healthy: Vec<JobId> =
+            (0..6).map(|n| world.submit(500 + n, World::spec(Kind::Array, TEAMS[n as usize % 3], 4, 1.0))).collect();
+        world.run_for(60 * S);
+        let again = starts(&world) - begun;
+        assert!(again <= 5 * 8, "{seed}: tasks of broken jobs were started {again} times in a minute");
+        assert!(world.started - all >= u64::from(again) + 24, "{seed}: the others did not start");
+        let late = healthy.iter().filter(|id| world.jobs[*id].told != Some(JobState::Done)).count();
+        assert_eq!(late, 0, "{seed}: healthy jobs are not done after a minute");
+        let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+        assert_eq!(lost, 0, "{seed}: machines were given back or replaced");
+        assert!(world.cloud.machines.len() <= rented + 1, "{seed}: machines were rented for broken jobs");
+        for id in &services {
+            assert_eq!(world.running(id), 2, "{seed}: {id} is disturbed");
+        }
+        call_off_all(&mut world, &broken);
+        cancel_services(&mut world);
+        finish(&mut world, &format!("broken {seed}"));
+    }
+}
+
+/// Among jobs that fail everywhere a machine that is at fault itself is still found: what fails there gets on elsewhere.
+#[test]
+fn a_faulty_machine_is_found_among_broken_jobs() {
+    for seed in seeds(63, 4) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        world.run_for(5 * S);
+        let broken = submit_broken(&mut world, 1, S);
+        let nth = world.pick(5) as usize;
+        let sick = world.nth_worker(nth).expect("a machine");
+        world.sicken(nth);
+        let mut number = 100;
+        for _ in 0..30 {
+            for team in TEAMS {
+                number += 1;
+                world.submit(number, World::spec(Kind::Array, team, 3, 1.0));
+            }
+            world.run_for(4 * S);
+        }
+        assert!(!world.workers.contains_key(&sick), "{seed}: {sick} is still there");
+        call_off_all(&mut world, &broken);
+        finish(&mut world, &format!("faulty among broken {seed}"));
+    }
+}
+
+/// Broken jobs while all controllers end and come back: whoever takes over learns anew that they fail, cancellations
+/// hold, and nothing is left behind.
+#[test]
+fn broken_jobs_and_a_restart_of_all() {
+    for seed in seeds(64, 3) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 20);
+        let broken = submit_broken(&mut world, 800, S);
+        world.run_for(25 * S);
+        for node in 0..3 {
+            world.crash(node, 2 * S + node as u64 * S);
+        }
+        world.run_for(15 * S);
+        world.state_outage(6 * S);
+        call_off_all(&mut world, &broken);
+        finish(&mut world, &format!("broken and restart {seed}"));
+    }
+}
--- a/tests/rules/world/users.rs
+++ b/tests/rules/world/users.rs
@@ -43,6 +43,10 @@
     pub gap: u64,
     /// When its first task started.
     pub begun: Option<u64>,
+    /// It was submitted with a mistake: each of its tasks fails after so long at work, wherever it runs.
+    pub fails_after: Option<u64>,
+    /// How many of its tasks arrived on a machine.
+    pub starts: u32,
     /// Since when a task of it waits though it could run.
     pub(super) stranded_since: Option<u64>,
 }
@@ -66,6 +70,8 @@
                 answered: self.now,
                 gap: 0,
                 begun: None,
+                fails_after: None,
+                starts: 0,
                 stranded_since: None,
             },
         );
