Boots that should be up are not counted on, and kinds that fail are avoided

Cause: a booting machine counted as coming for three times its boot time, and the cheapest kind was rented again whatever had become of the last ones. Now the time is estimated from what is seen (mean and deviation, never below the ordinary spread of what the cloud names); overdue machines don't count against the wish but are used if they come; a kind costs more the fewer of it came up, with ordinary and spot machines pooled where little was seen. Each guard was seen to fail its test when taken out.

--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -2,8 +2,9 @@
 //! what is returned.
 
 use super::Core;
+use super::boots::{Reliability, overdue};
 use super::jobs::Job;
-use super::leader::{Call, Offer};
+use super::leader::{Boot, Call, Offer};
 use crate::bookkeeping::schema::{Hold, Role};
 use crate::protocol::cloud::Rental;
 use crate::protocol::user::{JobSpec, Kind, Priority};
@@ -44,6 +45,8 @@
 
 /// Machines that one request may ask for.
 const RENTAL_MOST: u32 = 50;
+/// Boot time of a type that the cloud does not list any more, in seconds.
+const USUAL_BOOT_S: f64 = 60.0;
 /// Estimates below this are taken for it, in seconds.
 const ESTIMATE_LEAST_S: f64 = 5.0;
 
@@ -102,10 +105,22 @@
             .collect()
     }
 
+    /// When a machine that boots should be up.
+    fn boot_span(&self, boot: &Boot) -> Micros {
+        let usual_s = self.types.get(&boot.machine_type).map_or(USUAL_BOOT_S, |info| info.wire.boot_s);
+        self.leader.boot_history.ordinary_span(&boot.machine_type, usual_s)
+    }
+
+    /// Machines that boot and should be up by now.
+    fn overdue_boots(&self) -> impl Iterator<Item = &Boot> {
+        overdue(&self.leader.boots, |boot| self.boot_span(boot), self.now())
+    }
+
+    /// Machines that boot and can be counted on.
     fn boot_slots(&self) -> Vec<Slot> {
-        self.leader
-            .boots
-            .values()
+        let now = self.now();
+        let likely = self.leader.boots.values().filter(|boot| now.since(boot.since) <= self.boot_span(boot));
+        likely
             .map(|b| Slot {
                 id: None,
                 machine_type: b.machine_type.clone(),
@@ -287,7 +302,9 @@
         self.leader.refused.retain(|_, until| *until > now);
         let by_size = (self.replica.machines.len() as f64 * self.policy.boots_part) as u64;
         let most = u64::from(self.policy.boots_max).max(by_size);
-        let room_left = most.saturating_sub(self.leader.boots.len() as u64);
+        // Those that may never come up leave room for others, but not without bound.
+        let (all, late) = (self.leader.boots.len() as u64, self.overdue_boots().count() as u64);
+        let room_left = most.saturating_sub(all - late.min(most));
         let orders = self.offers_for(unmet, room_left);
         self.send_rentals(orders);
     }
@@ -303,12 +320,13 @@
                 None => *by_zone.entry(record.value.zone.clone()).or_default() = 1,
             }
         }
+        let reliability = self.leader.boot_history.reliability(self.overdue_boots(), self.now());
         let mut fresh: Vec<Slot> = Vec::new();
         for u in unmet {
             let mut zones = u.zones.clone();
             let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut zones);
             while count > 0 && room_left > 0 {
-                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &by_zone) else { break };
+                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &by_zone, &reliability) else { break };
                 let mut slot = Slot {
                     id: None,
                     machine_type: offer.0.clone(),
@@ -344,12 +362,14 @@
     }
 
     /// The offer with the lowest price for each task it can hold. `by_zone`: machines there are and
-    /// are to be.
+    /// are to be. One that fails costs its boot
+    /// and the time of those who wait for it.
     fn cheapest(
         &self,
         spec: &JobSpec,
         zones: &BTreeMap<String, u64>,
         by_zone: &BTreeMap<String, u64>,
+        reliability: &Reliability,
     ) -> Option<(Offer, Room)> {
         let need = spec.room();
         let most = u64::from(spec.tasks.div_ceil(2));
@@ -371,7 +391,8 @@
                         continue;
                     }
                     let price = if spot { info.wire.spot_price.unwrap_or(info.wire.price) } else { info.wire.price };
-                    let cost = (price / tasks as f64 * 1e6) as u64;
+                    let comes_up = reliability.of(&offer);
+                    let cost = (price / tasks as f64 / (comes_up * comes_up) * 1e6) as u64;
                     // Among equals the zone with the fewest machines.
                     let here = by_zone.get(zone).copied().unwrap_or(0);
                     if best.as_ref().is_none_or(|(b, ..)| (cost, here) < *b) {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,5 +1,6 @@
 //! The leader's work: takes machines into the stored records, plans which share gets which, rents and returns.
 
+use super::boots::BootHistory;
 use super::capacity::Unmet;
 use super::txns::{Draft, MachineChange, Purpose};
 use super::{CloudCall, CloudOutcome, Core, Effect, TypeInfo};
@@ -18,6 +19,12 @@
     pub last_listed: Micros,
 }
 
+impl Boot {
+    pub fn offer(&self) -> Offer {
+        (self.machine_type.clone(), self.zone.clone(), self.spot)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(super) enum Call {
     Types,
@@ -41,6 +48,8 @@
     pub listing: bool,
     pub listed_once: bool,
     pub boots: BTreeMap<MachineId, Boot>,
+    /// How those before them came up.
+    pub boot_history: BootHistory,
     pub refused: HashMap<Offer, Micros>,
     pub deleting: BTreeSet<MachineId>,
     /// Machines whose deletion was confirmed; late reports of theirs count for nothing.
@@ -327,13 +336,19 @@
         let (types, recorded) = (&self.types, &self.replica.machines);
         self.leader.boots.retain(|id, boot| {
             let usual = types.get(&boot.machine_type).map_or(60.0, |t| t.wire.boot_s);
-            if now.since(boot.since) > Micros::from_secs_f64(usual * patience) {
+            let came_up = recorded.contains_key(id);
+            let given_up = !came_up && now.since(boot.since) > Micros::from_secs_f64(usual * patience);
+            if given_up {
                 late.push(id.clone());
             }
-            !recorded.contains_key(id) && now.since(boot.last_listed) < lag
+            // One that is given up stays until its deletion is confirmed.
+            given_up || !came_up && now.since(boot.last_listed) < lag
         });
         for id in &late {
+            let Some(boot) = self.leader.boots.get(id).filter(|_| !self.leader.deleting.contains(id)) else { continue };
             tracing::info!(machine = %id, "did not come up, given up");
+            let offer = boot.offer();
+            self.leader.boot_history.given_up(offer, now);
         }
         self.delete(late);
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! controller; the daemon feeds it a queue of commands in batches. Everything a decision rests on
 //! is either in the state service (see [`crate::bookkeeping`]) or was proven by a worker's report.
 
+mod boots;
 pub mod budget;
 mod cancellations;
 mod capacity;
--- a/src/coordination/registration.rs
+++ b/src/coordination/registration.rs
@@ -105,7 +105,7 @@
         let ids: Vec<MachineId> = members.iter().map(|m| m.id.clone()).collect();
         for id in &ids {
             self.machines.entry(id.clone()).or_default().registering = true;
-            self.leader.boots.remove(id);
+            self.boot_over(id);
             draft.unchanged(&self.replica, Key::Machine(id.clone()));
         }
         match &members[..] {
@@ -119,6 +119,14 @@
         self.submit_txn(draft, Purpose::Machines(MachineChange::Register, ids));
     }
 
+    /// A machine that was rented has come up.
+    fn boot_over(&mut self, id: &MachineId) {
+        let now = self.now();
+        if let Some(boot) = self.leader.boots.remove(id) {
+            self.leader.boot_history.came_up(boot.offer(), now.since(boot.since), now);
+        }
+    }
+
     /// The share with the most unmet need, else the one with the least room for its teams.
     fn neediest_share(&mut self, report: &Report, registered: &[FleetMember]) -> u32 {
         let cpus = self.types.get(&report.machine_type).map_or(1_000_000, |t| t.room.cpus);
--- a/tests/rules/on_call.rs
+++ b/tests/rules/on_call.rs
@@ -3,7 +3,8 @@
 
 use super::world::{MS, Place, S, SMALL, Size, World};
 use super::{cancel_services, finish, keeping_idle_machines, ordinary_jobs, seeds};
-use burlhatch::protocol::user::{JobState, Kind};
+use burlhatch::protocol::user::{JobSpec, JobState, Kind, Priority};
+use burlhatch::settings::Policy;
 use burlhatch::units::{JobId, MachineId};
 
 /// How often it is looked at who holds a share.
@@ -167,3 +168,59 @@
         finish(&mut world, &format!("broken and restart {seed}"));
     }
 }
+
+/// Batch work that may run on any machine, spot or not, one task to a machine.
+fn wide_array(team: &str, tasks: u32, run_s: f64) -> JobSpec {
+    let mut spec = World::spec(Kind::Array, team, tasks, 4.0);
+    spec.estimate_s = run_s;
+    spec
+}
+
+/// Every spot machine that is rented boots for ever, and spot is the cheapest. Ordinary ones are rented soon, and those
+/// that don't come up are not rented again and again.
+#[test]
+fn where_one_kind_of_machine_never_comes_up_another_is_rented() {
+    for seed in seeds(65, 4) {
+        let size = Size { machines: 1, capacity: 24, ..SMALL };
+        let mut world = World::sized(seed, Policy::default(), size);
+        world.cloud.spot_is_dead = true;
+        world.run_for(5 * S);
+        let ids: Vec<JobId> = (0..3).map(|n| world.submit(n + 1, wide_array("green", 6, 20.0))).collect();
+        // Long before those that don't come up are given up, which is after 30 s.
+        world.run_for(25 * S);
+        assert!(world.cloud.rented[0] > 0, "{seed}: no ordinary machine was rented");
+        world.run_for(125 * S);
+        let done = ids.iter().filter(|id| world.jobs[*id].told == Some(JobState::Done)).count();
+        assert_eq!(done, 3, "{seed}: {done} of 3 done after 150 s");
+        let [_, spot] = world.cloud.rented;
+        assert!(spot <= 30, "{seed}: {spot} spot machines were rented in vain");
+        finish(&mut world, &format!("dead spot {seed}"));
+    }
+}
+
+/// Machines that come up after several times the usual time are used or given back; none is left without a record, and
+/// meanwhile others are rented in their place, but not without bound. The leader stands still as they boot.
+#[test]
+fn machines_that_come_up_late_are_used_or_returned() {
+    for seed in seeds(66, 4) {
+        let size = Size { machines: 2, capacity: 40, ..SMALL };
+        let mut world = World::sized(seed, Policy::default(), size);
+        world.cloud.boot_percent = 200 + 100 * (seed % 3);
+        world.run_for(5 * S);
+        for n in 0..6 {
+            world.submit(n + 1, wide_array(TEAMS[n as usize % 3], 4, 20.0));
+        }
+        world.run_for(12 * S);
+        let leader = world.holder("leader").expect("somebody leads");
+        world.freeze(leader, 6 * S);
+        world.run_for(60 * S);
+        let rented: usize = world.cloud.rented.iter().sum();
+        assert!(rented <= 60, "{seed}: {rented} machines were rented for 24 tasks");
+        world.cloud.boot_percent = 100;
+        finish(&mut world, &format!("late boots {seed}"));
+        world.run_for(120 * S);
+        let recorded = world.stored_machines();
+        let stray: Vec<&MachineId> = world.workers.keys().filter(|id| !recorded.contains(id)).collect();
+        assert!(stray.is_empty(), "{seed}: up and in no record: {stray:?}");
+    }
+}
--- a/tests/rules/world/cloud.rs
+++ b/tests/rules/world/cloud.rs
@@ -25,11 +25,25 @@
     next: u64,
     /// Most machines at a time.
     pub capacity: usize,
+    /// Spot machines that are rented never come up.
+    pub spot_is_dead: bool,
+    /// Machines take so many times as long to come up, in percent.
+    pub boot_percent: u64,
+    /// Machines rented by now, of each kind: spot or not.
+    pub rented: [usize; 2],
 }
 
 impl Cloud {
     pub fn new(capacity: usize) -> Cloud {
-        Cloud { machines: BTreeMap::new(), charters: BTreeMap::new(), next: 0, capacity }
+        Cloud {
+            machines: BTreeMap::new(),
+            charters: BTreeMap::new(),
+            next: 0,
+            capacity,
+            spot_is_dead: false,
+            boot_percent: 100,
+            rented: [0; 2],
+        }
     }
 
     pub fn failed(&mut self, id: &MachineId) {
@@ -92,8 +106,10 @@
                 }
                 let mut names = Vec::new();
                 for _ in 0..room.min(rental.count as usize) {
-                    let never = self.chance(15);
-                    let delay = if never { 1_000_000 * S } else { 6 * S + self.pick(9 * S) };
+                    let never = self.chance(15) || (rental.spot && self.cloud.spot_is_dead);
+                    let ordinary = (6 * S + self.pick(9 * S)) * self.cloud.boot_percent / 100;
+                    let delay = if never { 1_000_000 * S } else { ordinary };
+                    self.cloud.rented[usize::from(rental.spot)] += 1;
                     names.push(self.boot(&rental.machine_type, &rental.zone, rental.spot, delay));
                 }
                 self.cloud.charters.insert(rental.request, names.clone());
