--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -126,8 +126,22 @@
             return due;
         }
         let left = f64::from(job.spec.tasks.saturating_sub(job.done)) * job.spec.cpus * job.spec.estimate_s;
-        let put_off = Micros::from_secs_f64(left * self.policy.wait_per_cpu_second_ms as f64 / 1000.0);
-        job.ready + put_off.min(Micros::from_millis(self.policy.wait_most_ms))
+        job.ready + self.put_off(left)
+    }
+
+    /// How long a job lets others go first, by the cpu-seconds it still needs: much for each at first, little for each
+    /// beyond the limit. One limit for all would let a huge array of short tasks wait for every larger one before it.
+    fn put_off(&self, cpu_seconds: f64) -> Micros {
+        let policy = &self.policy;
+        let most = Micros::from_millis(policy.wait_most_ms);
+        let each_s = policy.wait_per_cpu_second_ms as f64 / 1e3;
+        let first = Micros::from_secs_f64(cpu_seconds * each_s);
+        if first <= most {
+            return first;
+        }
+        let beyond = cpu_seconds - most.secs() / each_s;
+        let further = Micros::from_secs_f64(beyond * policy.wait_large_per_cpu_second_us as f64 / 1e6);
+        most + further.min(Micros::from_millis(policy.wait_large_most_ms))
     }
 
     /// Whether no task of it was ever started though it was accepted long ago. The largest jobs
--- a/src/settings/policy.rs
+++ b/src/settings/policy.rs
@@ -93,6 +93,11 @@
     wait_per_cpu_second_ms: u64 = 200, 0, 60000;
     /// That wait is never longer than this.
     wait_most_ms: u64 = 240000, 0, 3600000;
+    /// A job with more work than that waits so much longer for each further cpu-second: among large jobs the smaller
+    /// go first, too, as far as they came soon after.
+    wait_large_per_cpu_second_us: u64 = 1000, 0, 60000000;
+    /// That further wait is never longer than this.
+    wait_large_most_ms: u64 = 600000, 0, 3600000;
     /// A job of which no task was ever started goes before all others of its rank after this long; of an array
     /// one task.
     begin_within_ms: u64 = 150000, 1000, 3600000;
--- a/tests/rules/on_call.rs
+++ b/tests/rules/on_call.rs
@@ -224,3 +224,24 @@
         assert!(stray.is_empty(), "{seed}: up and in no record: {stray:?}");
     }
 }
+
+/// A guest's one huge array of short tasks comes just after larger work of the same priority that fills all machines.
+/// It goes before what of that has not begun.
+#[test]
+fn a_huge_array_of_short_tasks_gets_past_larger_work() {
+    for seed in seeds(67, 3) {
+        let mut world = World::sized(seed, Policy::default(), Size { machines: 8, capacity: 8, ..SMALL });
+        world.run_for(5 * S);
+        let low = |spec: JobSpec| JobSpec { priority: Priority::Low, ..spec };
+        for n in 0..4 {
+            world.submit(n + 1, low(wide_array("green", 300, 60.0)));
+        }
+        world.run_for(10 * S);
+        let mut spec = low(World::spec(Kind::Array, "green", 1500, 1.0));
+        spec.estimate_s = 1.0;
+        let huge = world.submit(100, spec);
+        world.run_for(400 * S);
+        assert_eq!(world.jobs[&huge].told, Some(JobState::Done), "{seed}: not done after 400 s");
+        assert!(world.violations.is_empty(), "{seed}: {:?}", world.violations);
+    }
+}
