A hold on a machine is conditional on the role by which it was decided

Cause, found by the new world test: a controller cut off from everything took its machines for lost; the write that dooms them was conditional on their records alone, lay in the network until the cut ended, and had a successor's healthy machines deleted with the services on them. Now each such write also needs the share (or the leadership) as it was held.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -358,7 +358,9 @@
         self.plan_moves();
     }
 
-    /// Changes a machine's record under the condition that it is as we know it.
+    /// Changes a machine's record under the conditions that it is as we know it, and that we still hold the role by which
+    /// we decide about it: what a controller without contact concludes from silence may be carried out long after its
+    /// successor has found the machine well.
     pub(super) fn write_machine(
         &mut self,
         id: &MachineId,
@@ -367,9 +369,9 @@
     ) {
         let Some(machine) = self.machines.get_mut(id) else { return };
         let Some(held) = self.replica.machines.get(id) else { return };
-        if machine.writing {
-            return;
-        }
+        let share = Role::Share(held.value.share);
+        let role = [share, Role::Leader].into_iter().find(|role| self.roles.held.contains_key(role));
+        let Some(role) = role.filter(|_| !machine.writing) else { return };
         let mut record = held.value.clone();
         change(&mut record);
         if record == held.value {
@@ -377,6 +379,7 @@
         }
         machine.writing = true;
         let mut draft = Draft::default();
+        draft.unchanged(&self.replica, Key::Role(role));
         draft.unchanged(&self.replica, Key::Machine(id.clone()));
         draft.put(Key::Machine(id.clone()), to_value(&record));
         self.submit_txn(draft, Purpose::Machines(what, vec![id.clone()]));
--- a/tests/rules/on_call.rs
+++ b/tests/rules/on_call.rs
@@ -3,6 +3,7 @@
 
 use super::world::{MS, Place, S, SMALL, Size, World};
 use super::{cancel_services, finish, keeping_idle_machines, ordinary_jobs, seeds};
+use burlhatch::coordination::UserAnswer;
 use burlhatch::protocol::user::{JobSpec, JobState, Kind, Priority};
 use burlhatch::settings::Policy;
 use burlhatch::units::{JobId, MachineId};
@@ -232,7 +233,6 @@
     for seed in seeds(67, 3) {
         let mut world = World::sized(seed, Policy::default(), Size { machines: 8, capacity: 8, ..SMALL });
         world.run_for(5 * S);
-        let low = |spec: JobSpec| JobSpec { priority: Priority::Low, ..spec };
         for n in 0..4 {
             world.submit(n + 1, low(wide_array("green", 300, 60.0)));
         }
@@ -245,3 +245,67 @@
         assert!(world.violations.is_empty(), "{seed}: {:?}", world.violations);
     }
 }
+
+fn low(spec: JobSpec) -> JobSpec {
+    JobSpec { priority: Priority::Low, ..spec }
+}
+
+/// What a controller may lose touch with.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Everything,
+    StateService,
+    Workers,
+    Siblings,
+    /// The state service alone refuses it.
+    Refused,
+}
+
+const LOSSES: [Loss; 5] = [Loss::Everything, Loss::StateService, Loss::Workers, Loss::Siblings, Loss::Refused];
+
+fn lose(world: &mut World, node: usize, loss: Loss, span: u64, hold: bool) {
+    let it = Place::Node(node);
+    match loss {
+        Loss::Everything => world.cut(span, hold, move |a, _| *a == it),
+        Loss::StateService => world.cut(span, hold, move |a, b| *a == it && *b == Place::State),
+        Loss::Workers => world.cut(span, hold, move |a, b| *a == it && matches!(b, Place::Worker(_))),
+        Loss::Siblings => world.cut(span, hold, move |a, b| *a == it && matches!(b, Place::Node(_))),
+        Loss::Refused => world.refuse_node(node, span),
+    }
+}
+
+/// A controller, the leader and then the owner of a share, drops off the network in each way, for less and for more
+/// than a lease, with packets held and with resets. Its shares have an owner within seconds, no machine is deleted for
+/// it, what runs goes on, its users hear at once, and shares change hands only there and back.
+#[test]
+fn a_controller_drops_off_the_network_in_every_way() {
+    for (nth, loss) in LOSSES.into_iter().enumerate() {
+        for (span, hold) in [(12 * S, true), (26 * S, nth % 2 == 0)] {
+            let seed = 70_000 + nth as u64 * 10 + u64::from(hold);
+            let name = format!("{loss:?} for {} s, held: {hold}", span / S);
+            let mut world = World::with_policy(seed, keeping_idle_machines());
+            let services: Vec<JobId> = (0..6)
+                .map(|n| world.submit(n + 1, World::spec(Kind::Service, TEAMS[n as usize % 3], 2, 1.0)))
+                .collect();
+            world.run_for(30 * S);
+            let (before, started) = (world.stored_machines(), world.started);
+            for role in ["leader", "share/1"] {
+                let node = world.holder(role).expect("held");
+                lose(&mut world, node, loss, span, hold);
+                world.run_for(6 * S);
+                assert_eq!(world.unowned_shares(), 0, "{name}: a share has no owner");
+                if matches!(loss, Loss::Everything | Loss::StateService | Loss::Refused) {
+                    let answer = world.ask_at(node, &services[0]);
+                    assert!(matches!(answer, Some(UserAnswer::Unavailable { .. })), "{name}: {answer:?}");
+                }
+                let changes = changes_of_holder(&mut world, 1, span + 14 * S);
+                assert!(changes <= 6, "{name}: share 1 was given up or taken {changes} times");
+            }
+            let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+            assert_eq!(lost, 0, "{name}: machines were deleted");
+            assert!(world.started <= started + 2, "{name}: services were started again");
+            cancel_services(&mut world);
+            finish(&mut world, &name);
+        }
+    }
+}
--- a/tests/rules/world/checks.rs
+++ b/tests/rules/world/checks.rs
@@ -103,6 +103,16 @@
         self.workers.values().flat_map(|w| w.tasks.keys()).filter(|k| k.0 == *id).count()
     }
 
+    /// Changes that the state service has carried out.
+    pub fn changes(&self) -> u64 {
+        self.state.written
+    }
+
+    /// Requests that the state service got.
+    pub fn state_requests(&self) -> u64 {
+        self.state.asked
+    }
+
     pub fn limited(&self) -> u64 {
         self.state.limited
     }
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -205,6 +205,10 @@
     pub cancel_at_once: u32,
     /// Users call off a job as it ends, one in so many; 0 for none.
     pub cancel_at_end: u32,
+    /// Questions that users ask at random controllers in each quarter of a second, besides their usual ones.
+    pub question_burst: u32,
+    /// The longest time that a user waited for an answer, of controllers that had not ended.
+    pub longest_answer: u64,
     /// Users repeat known jobs with whatever else in them, and send jobs that can't be taken.
     pub odd_requests: bool,
     pub size: Size,
@@ -263,6 +267,8 @@
             close_looks: false,
             cancel_at_once: 0,
             cancel_at_end: 0,
+            question_burst: 0,
+            longest_answer: 0,
             odd_requests: false,
             size,
             calm_since: None,
--- a/tests/rules/world/state.rs
+++ b/tests/rules/world/state.rs
@@ -70,6 +70,9 @@
     write_rps: f64,
     changes: Allowance,
     pub limited: u64,
+    /// Changes carried out, and requests that came.
+    pub written: u64,
+    pub asked: u64,
     /// From when on the largest value, the most changes in a transaction and in a second are so many.
     pub lower: Option<(u64, usize, usize, f64)>,
 }
@@ -93,6 +96,7 @@
 
     /// Whether one more request is within the limit.
     pub fn admits_request(&mut self, now: u64) -> bool {
+        self.asked += 1;
         self.limits.rps.is_none_or(|rate| self.requests.admits(now, rate, 1))
     }
 
@@ -207,6 +211,7 @@
         }
         if !txn.writes.is_empty() {
             self.revision += 1;
+            self.written += txn.writes.len() as u64;
         }
         for write in &txn.writes {
             match write {
--- a/tests/rules/world/users.rs
+++ b/tests/rules/world/users.rs
@@ -169,12 +169,29 @@
         if self.odd_requests {
             self.odd_request();
         }
+        self.ask_in_bursts();
         if self.chance(20) {
             self.ask(Asked::Stranger, UserRequest::Get(JobId::new("wk-999999")));
         }
         self.at(250 * MS, Event::Users);
     }
 
+    /// Many questions about whatever job, also ended ones and some that nobody knows, and repeats of submissions.
+    fn ask_in_bursts(&mut self) {
+        let ids: Vec<JobId> = self.jobs.iter().filter(|(_, j)| j.accepted).map(|(id, _)| id.clone()).collect();
+        for _ in 0..self.question_burst {
+            let nth = self.pick(ids.len() as u64 + 1) as usize;
+            let Some(id) = ids.get(nth).cloned() else {
+                let stranger = JobId::new(&format!("wk-none{}", self.pick(1000)));
+                self.ask(Asked::Stranger, UserRequest::Get(stranger));
+                continue;
+            };
+            let node = self.pick(self.size.nodes as u64) as usize;
+            let look = if self.chance(8) { Look::Submission } else { Look::Status };
+            self.look(node, id, look);
+        }
+    }
+
     pub(super) fn look(&mut self, node: usize, id: JobId, look: Look) {
         let Some(job) = self.jobs.get(&id) else { return };
         match look {
@@ -259,6 +276,7 @@
             return;
         }
         let Some((asked_at, asked)) = self.nodes[node].users.remove(&waiter) else { return };
+        self.longest_answer = self.longest_answer.max(self.now - asked_at);
         let (id, cancels) = match asked {
             Asked::Stranger => {
                 if matches!(answer, UserAnswer::Status(_) | UserAnswer::Accepted(_)) {
