Ordinary work gets room that work of the lowest priority holds

Cause: a guest's arrays of the lowest priority kept every machine they had got until their tasks ended, also those that came from other shares, and only work above the ordinary made others leave. A job that has just begun with one task is left alone.

--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// A machine's room in the plan.
+#[derive(Clone)]
 pub(super) struct Slot {
     pub id: Option<MachineId>,
     pub machine_type: String,
@@ -83,6 +84,7 @@
         }
         unmet.retain(|u| u.count > 0);
         self.rent_for(&unmet);
+        self.reclaim(&slots, &unmet);
         self.return_idle(&slots, &unmet);
     }
 
@@ -260,10 +262,7 @@
         let now = self.now();
         let patience = Micros::from_millis(self.policy.shift_after_ms);
         let mut moves = Vec::new();
-        // Each move costs two changes, which starts and submissions need more.
-        let moving = self.replica.machines.values().filter(|m| matches!(m.value.hold, Some(Hold::Move(_)))).count();
-        let most = ((self.platform.deployment.state.write_rps * self.policy.shift_part) as usize).max(1);
-        let most = most.saturating_sub(moving);
+        let most = self.moves_left();
         for u in unmet.iter_mut() {
             let urgent = u.spec.priority > Priority::Normal;
             let free_enough = |s: &Slot| {
@@ -292,6 +291,20 @@
         }
     }
 
+    /// How many more machines may be on their way to other shares. Each move costs two changes, which starts and
+    /// submissions need more.
+    pub(super) fn moves_left(&self) -> usize {
+        let moving = self.replica.machines.values().filter(|m| matches!(m.value.hold, Some(Hold::Move(_)))).count();
+        let most = ((self.platform.deployment.state.write_rps * self.policy.shift_part) as usize).max(1);
+        most.saturating_sub(moving)
+    }
+
+    /// Whether any kind of machine that takes such a task is not known to be sold out.
+    pub(super) fn can_rent_for(&self, unmet: &Unmet) -> bool {
+        let reliability = self.leader.boot_history.reliability(std::iter::empty(), self.now());
+        self.cheapest(&unmet.spec, &unmet.zones, &BTreeMap::new(), &reliability).is_some()
+    }
+
     fn rent_for(&mut self, unmet: &[Unmet]) {
         let now = self.now();
         let in_flight = self.leader.calls.values().chain(self.leader.again.iter().map(|(_, c)| c));
--- a/src/coordination/draining.rs
+++ b/src/coordination/draining.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Everything leaves a machine that another share needs more urgently.
+    pub(super) fn vacate(&mut self, id: &MachineId) {
+        self.stop_where(id, |_| true);
+    }
+
     fn stop_services(&mut self, id: &MachineId) {
         self.stop_where(id, |kind| kind == Kind::Service);
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -58,6 +58,8 @@
     pub next_tidy: Micros,
     /// Machines not in the stored records that answered when they were asked.
     pub alive: BTreeMap<MachineId, Micros>,
+    /// Busy machines asked for on behalf of more urgent work, and when.
+    pub reclaimed: BTreeMap<MachineId, Micros>,
     /// What the shares lacked in the last plan, most urgent first.
     pub need: Vec<Unmet>,
     pub charters: u64,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,6 +23,7 @@
 pub mod placement;
 mod preemption;
 mod reads;
+mod reclaim;
 mod records;
 mod registration;
 mod reports;
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -21,12 +21,12 @@
 struct Leaving {
     /// No start is recorded or decided on them: each with the share it goes to.
     empty: Vec<(MachineId, u32)>,
-    occupied: Vec<MachineId>,
+    occupied: Vec<(MachineId, u32)>,
 }
 
 impl Core {
-    /// Keeps machines that were to go to other shares and have something on them, and notes by when the others should
-    /// move.
+    /// Keeps machines that were to go to other shares and have something on them, unless that has to make way for more
+    /// urgent work there, and notes by when the others should move.
     pub(super) fn plan_moves(&mut self) {
         let mut wanted = false;
         for (share, machines) in self.machines_to_move() {
@@ -34,8 +34,12 @@
                 continue;
             }
             wanted |= !machines.empty.is_empty();
-            for id in machines.occupied {
-                self.write_machine(&id, MachineChange::Move, |record| record.hold = None);
+            for (id, to) in machines.occupied {
+                if self.held(Role::Share(share)).is_some() && self.should_vacate(&id, to) {
+                    self.vacate(&id);
+                } else {
+                    self.write_machine(&id, MachineChange::Move, |record| record.hold = None);
+                }
             }
         }
         let latest = self.now() + Micros::from_millis(self.policy.machine_patience_ms);
@@ -85,7 +89,7 @@
             if self.usage.is_empty(id) {
                 machines.empty.push((id.clone(), to));
             } else {
-                machines.occupied.push(id.clone());
+                machines.occupied.push((id.clone(), to));
             }
         }
         leaving
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -170,7 +170,7 @@
         waiting.into_iter().map(|(_, id)| id).collect()
     }
 
-    fn within_guarantee(&self, job: &Job) -> bool {
+    pub(super) fn within_guarantee(&self, job: &Job) -> bool {
         let Some(team) = job.spec.team.as_ref().and_then(|name| self.platform.deployment.team(name)) else {
             return false;
         };
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -4,12 +4,19 @@
 use super::Core;
 use super::jobs::Job;
 use super::placement::Spot;
+use super::usage::Start;
 use crate::protocol::user::{Kind, Priority};
 use crate::units::{JobId, Micros, Room};
 
 /// A job that made others leave does so again only after this.
 const PREEMPTION_PAUSE: Micros = Micros::from_millis(1000);
 
+/// Ordinary work that found none to make leave looks again after this: with hundreds waiting that costs most of a round.
+const FRUITLESS_PAUSE: Micros = Micros::from_millis(250);
+
+/// A job's only task is not stopped before it has run for so long.
+const JUST_BEGUN: Micros = Micros::from_millis(35_000);
+
 /// What making room on a machine costs: a fetch first, then the time lost.
 type Loss = (bool, u64);
 
@@ -22,10 +29,7 @@
     pub(super) fn make_room(&mut self, id: &JobId, spots: &[Spot]) {
         let now = self.now();
         let Some(job) = self.jobs.get(id) else { return };
-        if job.spec.priority <= Priority::Normal || now < job.preempting_until || job.spec.kind == Kind::Gang {
-            return;
-        }
-        if job.is_failing() {
+        if now < job.preempting_until || job.spec.kind == Kind::Gang || !self.may_preempt(job) {
             return;
         }
         let mut allowance = self.allowance(job, None);
@@ -47,11 +51,13 @@
                 wanted -= 1;
             }
         }
-        if chosen.is_empty() {
-            return;
-        }
+        let pause = match (chosen.is_empty(), job.spec.priority) {
+            (false, _) => PREEMPTION_PAUSE,
+            (true, Priority::Normal) => FRUITLESS_PAUSE,
+            (true, _) => Micros::ZERO,
+        };
         if let Some(job) = self.jobs.get_mut(id) {
-            job.preempting_until = now + PREEMPTION_PAUSE;
+            job.preempting_until = now + pause;
         }
         let grace = self.policy.stop_grace_s;
         for (other, task) in chosen {
@@ -66,6 +72,28 @@
         }
     }
 
+    /// Whether a job may make others leave. Ordinary work does so at once within its team's guarantee and otherwise only
+    /// when it has waited: what it stops is lost in part, and room may fall free by itself.
+    fn may_preempt(&self, job: &Job) -> bool {
+        match job.spec.priority {
+            _ if job.is_failing() => false,
+            Priority::Low => false,
+            Priority::Normal if self.usage.lowest() == 0 => false,
+            Priority::Normal => {
+                let waited = self.clock.wall.since(job.ready);
+                self.within_guarantee(job) || waited >= Micros::from_millis(self.policy.preempt_after_ms)
+            }
+            Priority::High | Priority::Production => true,
+        }
+    }
+
+    /// Whether a task is all that has begun of its job, and has not run for long: stopped now it would count as if the
+    /// job had not begun.
+    fn has_just_begun(&self, job: &Job, start: &Start) -> bool {
+        let ran = start.running_since.map_or(Micros::ZERO, |since| self.now().since(since));
+        job.done == 0 && job.live.occupying() == 1 && ran < JUST_BEGUN
+    }
+
     /// Lower work that would have to leave a machine to let one task of the job in, the youngest
     /// first, and what that costs. None if it would not help.
     fn victims(&self, job: &Job, spot: &Spot) -> Option<(Loss, Victims)> {
@@ -82,7 +110,8 @@
                 let below = victim.urgency.priority < job.spec.priority && victim.spec.kind == Kind::Array;
                 let stoppable = live.phase().on_machine() && live.stop.is_none();
                 let began = live.running_since.unwrap_or(now);
-                (below && stoppable).then(|| (now.since(began), other.clone(), *task, victim.room))
+                (below && stoppable && !self.has_just_begun(victim, live))
+                    .then(|| (now.since(began), other.clone(), *task, victim.room))
             })
             .collect();
         lower.sort();
--- /dev/null
+++ b/src/coordination/reclaim.rs
@@ -0,0 +1,67 @@
+//! Machines taken back from work of the lowest priority for more urgent work of another share.
+//!
+//! Where nothing more can be rented, a share's waiting work would wait until whole machines of others fall free. So the
+//! leader also asks for machines on which nothing but arrays of the lowest priority runs, in the same way as for free
+//! ones: by a hold (see [`super::moves`]). The holder stops what runs there, as long as more urgent work waits where
+//! the machine is to go; otherwise it lifts the hold.
+
+use super::Core;
+use super::capacity::{Slot, Unmet, fit};
+use crate::bookkeeping::schema::Hold;
+use crate::protocol::user::Priority;
+use crate::units::{MachineId, Micros};
+use std::collections::BTreeMap;
+
+/// A machine whose holder keeps it is not asked for again so soon.
+const ASK_AGAIN: Micros = Micros::from_millis(30_000);
+
+impl Core {
+    /// For tasks that find no room, nor any machine to rent: asks for machines of other shares that only do work of the
+    /// lowest priority.
+    pub(super) fn reclaim(&mut self, slots: &BTreeMap<u32, Vec<Slot>>, unmet: &[Unmet]) {
+        let now = self.now();
+        self.leader.reclaimed.retain(|_, at| now.since(*at) < ASK_AGAIN);
+        if self.usage.lowest() == 0 {
+            return;
+        }
+        let mut left = self.moves_left();
+        let mut asked: Vec<(MachineId, u32)> = Vec::new();
+        for u in unmet.iter().filter(|u| u.spec.priority > Priority::Low && !self.can_rent_for(u)) {
+            let (mut count, mut zones) = (u.count, u.zones.clone());
+            let others = slots.iter().filter(|(share, _)| **share != u.share).flat_map(|(_, own)| own);
+            for slot in others {
+                let Some(id) = slot.id.as_ref().filter(|_| count > 0 && left > 0) else { break };
+                let free = !self.leader.reclaimed.contains_key(id) && !asked.iter().any(|(other, _)| other == id);
+                if !free || !self.does_lowest_only(id) {
+                    continue;
+                }
+                let emptied = Slot { free: self.machine_room(id), ..slot.clone() };
+                let taken = fit(&u.spec, count, &mut [emptied], &mut zones);
+                if taken > 0 {
+                    (count, left) = (count - taken, left - 1);
+                    asked.push((id.clone(), u.share));
+                }
+            }
+        }
+        for (id, to) in asked {
+            tracing::debug!(machine = %id, to, "asked back for more urgent work");
+            self.leader.reclaimed.insert(id.clone(), now);
+            self.set_hold_of(&id, Hold::Move(to));
+        }
+    }
+
+    /// Whether nothing but arrays of the lowest priority takes room on a machine, and something does.
+    fn does_lowest_only(&self, id: &MachineId) -> bool {
+        self.usage.placed(id).is_some_and(|placed| placed.lowest > 0 && placed.lowest == placed.occupying)
+    }
+
+    /// Whether the holder of a machine that another share asks for should empty it: more urgent work waits there.
+    pub(super) fn should_vacate(&self, id: &MachineId, to: u32) -> bool {
+        let waits = || {
+            self.jobs.values().any(|job| {
+                job.share == to && job.spec.priority > Priority::Low && job.waiting() > 0 && !job.is_failing()
+            })
+        };
+        self.does_lowest_only(id) && waits()
+    }
+}
--- a/src/coordination/usage.rs
+++ b/src/coordination/usage.rs
@@ -1,7 +1,7 @@
 //! Starts not proven gone and out of the stored records, with the sums kept over them: what each machine
 //! has and gives, what each team uses. A start's phase changes only here, so that no sum is missed.
 
-use crate::protocol::user::{JobSpec, Kind};
+use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::protocol::worker::ExitCause;
 use crate::units::{JobId, MachineId, Micros, Room};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -91,6 +91,8 @@
     pub occupying: u32,
     /// Of these those of services.
     pub services: u32,
+    /// Of these those of arrays of the lowest priority.
+    pub lowest: u32,
 }
 
 /// Sums over the starts of all jobs.
@@ -98,6 +100,8 @@
 pub struct Usage {
     machines: HashMap<MachineId, Placed>,
     teams: HashMap<String, Room>,
+    /// Starts of arrays of the lowest priority that take room anywhere.
+    lowest: u32,
     /// Jobs whose starts changed since the recorder last looked at them.
     pub touched: BTreeSet<JobId>,
     /// Machines that lost a start's room since somebody last looked.
@@ -135,6 +139,11 @@
         self.machines.get(machine).map(|p| p.room).unwrap_or_default()
     }
 
+    /// How many starts of arrays of the lowest priority take room anywhere.
+    pub fn lowest(&self) -> u32 {
+        self.lowest
+    }
+
     /// Room that a team takes.
     pub fn used_by(&self, team: &str) -> Room {
         self.teams.get(team).copied().unwrap_or_default()
@@ -146,10 +155,14 @@
             placed.room = placed.room.plus(&starts.room);
             placed.occupying += 1;
             placed.services += u32::from(starts.service);
+            placed.lowest += u32::from(starts.lowest);
+            self.lowest += u32::from(starts.lowest);
         } else {
             placed.room = placed.room.minus(&starts.room);
             placed.occupying -= 1;
             placed.services -= u32::from(starts.service);
+            placed.lowest -= u32::from(starts.lowest);
+            self.lowest -= u32::from(starts.lowest);
             self.freed.insert(machine.clone());
         }
         if let Some(team) = &starts.team {
@@ -169,6 +182,8 @@
     room: Room,
     team: Option<String>,
     service: bool,
+    /// Of an array of the lowest priority.
+    lowest: bool,
     map: BTreeMap<u32, Start>,
     occupying: u32,
     decided: u32,
@@ -179,7 +194,8 @@
     pub fn new(job: JobId, spec: &JobSpec) -> JobStarts {
         let team = spec.team.clone();
         let service = spec.kind == Kind::Service;
-        JobStarts { job, room: spec.room(), team, service, map: BTreeMap::new(), occupying: 0, decided: 0 }
+        let lowest = spec.kind == Kind::Array && spec.priority == Priority::Low;
+        JobStarts { job, room: spec.room(), team, service, lowest, map: BTreeMap::new(), occupying: 0, decided: 0 }
     }
 
     /// A task's start.
--- a/tests/rules/on_call.rs
+++ b/tests/rules/on_call.rs
@@ -250,6 +250,56 @@
     JobSpec { priority: Priority::Low, ..spec }
 }
 
+/// A guest's long work of the lowest priority holds all there is to rent, in its own share, which is a house team's as
+/// well, and in the others, whose idle machines went to it. Ordinary work of the house teams gets room all the same; the
+/// guest loses no more than that takes, and its machines go back when it is over.
+#[test]
+fn house_teams_get_room_where_a_guest_holds_everything() {
+    for seed in seeds(68, 4) {
+        let mut world = World::sized(seed, Policy::default(), Size { machines: 8, capacity: 8, ..SMALL });
+        world.run_for(5 * S);
+        let guests: Vec<JobId> = (0..3).map(|n| world.submit(n + 1, low(wide_array("green", 12, 200.0)))).collect();
+        world.run_for(40 * S);
+        let held = world.workers.values().filter(|w| !w.tasks.is_empty()).count();
+        assert!(held >= 7, "{seed}: the guest holds {held} machines only");
+        let house: Vec<JobId> =
+            (0..3).map(|n| world.submit(100 + n, World::spec(Kind::Array, TEAMS[n as usize], 3, 1.0))).collect();
+        world.run_for(45 * S);
+        for id in &house {
+            let job = &world.jobs[id];
+            let waited = job.begun.map(|at| (at - job.submitted) / S);
+            assert!(waited.is_some_and(|s| s <= 30), "{seed}: {id} began after {waited:?} s");
+        }
+        let left = world.workers.values().filter(|w| w.tasks.keys().any(|k| guests.contains(&k.0))).count();
+        assert!(left >= 4, "{seed}: the guest is left with {left} machines");
+        for id in &guests {
+            world.call_off(id);
+        }
+        finish(&mut world, &format!("guest {seed}"));
+        world.run_for(400 * S);
+        assert!(world.workers.len() <= 6, "{seed}: {} machines are kept", world.workers.len());
+    }
+}
+
+/// The same within one share, which has all machines by then: ordinary work makes the guest's leave, at once where its
+/// team's guarantee covers it, and the guest's work goes on where there is room.
+#[test]
+fn ordinary_work_makes_the_lowest_leave_on_its_own_machines() {
+    for seed in seeds(73, 3) {
+        let mut world = World::sized(seed, Policy::default(), Size { machines: 6, capacity: 6, ..SMALL });
+        world.run_for(5 * S);
+        let guest = world.submit(1, low(wide_array("green", 20, 300.0)));
+        world.run_for(40 * S);
+        assert!(world.running(&guest) >= 6, "{seed}: {} tasks of the guest run", world.running(&guest));
+        let house = world.submit(100, World::spec(Kind::Array, "green", 3, 1.0));
+        world.run_for(15 * S);
+        assert!(world.jobs[&house].begun.is_some(), "{seed}: not begun after 15 s");
+        assert!(world.running(&guest) >= 5, "{seed}: {} tasks of the guest are left", world.running(&guest));
+        world.call_off(&guest);
+        finish(&mut world, &format!("guest's share {seed}"));
+    }
+}
+
 /// What a controller may lose touch with.
 #[derive(Clone, Copy, Debug)]
 enum Loss {
