--- a/tests/rules/on_call.rs
+++ b/tests/rules/on_call.rs
@@ -300,6 +300,39 @@
     }
 }
 
+/// Single-task jobs of a guest come faster than the state service takes changes for them, in the midst of an outage
+/// too. Services start in time, what a job costs at most is five changes (its batch and the removal of that, which jobs that
+/// come together share, its start, its outcome, the removal of its chunk), and all of it gets done.
+#[test]
+fn a_swarm_of_single_tasks_leaves_changes_to_the_others() {
+    for seed in seeds(69, 3) {
+        let size = Size { machines: 16, capacity: 20, write_rps: 20.0, ..SMALL };
+        let mut world = World::sized(seed, keeping_idle_machines(), size);
+        world.run_for(10 * S);
+        let changes = world.changes();
+        let mut services = Vec::new();
+        for n in 0..300 {
+            let mut spec = low(World::spec(Kind::Array, "green", 1, 0.25));
+            spec.estimate_s = 4.0;
+            world.submit(n + 1, spec);
+            if n % 60 == 30 {
+                services.push(world.submit(900 + n, World::spec(Kind::Service, TEAMS[n as usize / 60 % 3], 1, 1.0)));
+            }
+            if n == 200 && seed % 3 == 1 {
+                world.state_outage(6 * S);
+            }
+            world.run_for(100 * MS);
+        }
+        world.run_for(20 * S);
+        let late: Vec<_> = services.iter().map(|id| &world.jobs[id]).filter(|j| j.begun.is_none()).collect();
+        assert!(late.is_empty(), "{seed}: {} services did not start", late.len());
+        cancel_services(&mut world);
+        finish(&mut world, &format!("swarm {seed}"));
+        let each = (world.changes() - changes) as f64 / 300.0;
+        assert!(each <= 5.2, "{seed}: {each} changes for each job");
+    }
+}
+
 /// What a controller may lose touch with.
 #[derive(Clone, Copy, Debug)]
 enum Loss {
@@ -359,3 +392,56 @@
         }
     }
 }
+
+/// A controller stands still twice in a row, with transactions on their way that are carried out meanwhile, for less and
+/// for more than its session, as boots fail and jobs are called off. What it sends late is harmless, and awake it
+/// deletes nothing by old silence.
+#[test]
+fn a_controller_stands_still_twice_in_mid_transaction() {
+    for (seed, span) in seeds(71, 4).zip([2 * S, 5 * S, 25 * S, 70 * S].into_iter().cycle()) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        world.cloud.boot_percent = 300;
+        ordinary_jobs(&mut world, 40);
+        world.run_for(15 * S);
+        let node = world.holder("leader").expect("somebody leads");
+        let before = world.stored_machines();
+        for _ in 0..2 {
+            world.late_writes_of(node, S);
+            world.run_for(400 * MS);
+            world.freeze(node, span);
+            let ids: Vec<JobId> = world.jobs.keys().take(4).cloned().collect();
+            call_off_all(&mut world, &ids);
+            world.run_for(span + 1500 * MS);
+        }
+        world.run_for(8 * S);
+        assert_eq!(world.unowned_shares(), 0, "{seed}: a share has no owner");
+        let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+        assert!(lost <= 1, "{seed}: {lost} machines were deleted");
+        finish(&mut world, &format!("standstill {seed}"));
+    }
+}
+
+/// Questions come a hundred times as often, at all controllers, also about jobs that are over or that nobody knows. They
+/// share reads, so the state service is asked no more often than its limit allows; leases last, and all are answered
+/// within the time of one read, in the second half next to a controller that has lost its workers.
+#[test]
+fn bursts_of_questions_share_reads_and_cost_no_lease() {
+    for seed in seeds(72, 3) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        ordinary_jobs(&mut world, 30);
+        world.run_for(20 * S);
+        world.longest_answer = 0;
+        world.question_burst = 300;
+        let requests = world.state_requests();
+        world.run_for(15 * S);
+        let node = world.holder("share/0").expect("owned");
+        lose(&mut world, node, Loss::Workers, 12 * S, true);
+        world.run_for(15 * S);
+        let each_second = (world.state_requests() - requests) / 30;
+        assert!(each_second <= 100, "{seed}: {each_second} requests a second of 200 allowed");
+        assert!(world.longest_answer <= 3 * S, "{seed}: a user waited {} ms", world.longest_answer / MS);
+        assert_eq!(world.unowned_shares(), 0, "{seed}: a session was lost");
+        world.question_burst = 0;
+        finish(&mut world, &format!("burst {seed}"));
+    }
+}
