Links between controllers in a module of their own; names of the field

server.rs keeps HTTP; siblings.rs has relays, notices and the node's status. Bounces, standing, told and charters are gone as names (paths on the wire stay).

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -62,7 +62,7 @@
     pub reclaimed: BTreeMap<MachineId, Micros>,
     /// What the shares lacked in the last plan, most urgent first.
     pub need: Vec<Unmet>,
-    pub charters: u64,
+    pub rental_requests: u64,
     /// Since when lists of submissions were seen that no job names.
     pub unnamed: HashMap<String, Micros>,
 }
--- a/src/coordination/registration.rs
+++ b/src/coordination/registration.rs
@@ -12,7 +12,7 @@
 const ALIVE_SPAN: Micros = Micros::from_millis(5000);
 
 /// How a machine stands that reports.
-enum Standing {
+enum Registration {
     /// It has a record, or one is on its way.
     Known,
     /// It reports after its deletion: an old report, or the deletion missed it.
@@ -39,11 +39,11 @@
             if members.iter().any(|m| m.id == *id) {
                 continue;
             }
-            match self.standing(id) {
-                Standing::Known => continue,
-                Standing::Deleted => refused.push(id.clone()),
-                Standing::Unproven => self.ask_for_life(id, report.addr.as_deref()),
-                Standing::Alive => {
+            match self.registration(id) {
+                Registration::Known => continue,
+                Registration::Deleted => refused.push(id.clone()),
+                Registration::Unproven => self.ask_for_life(id, report.addr.as_deref()),
+                Registration::Alive => {
                     let member = self.new_member(&report, &members);
                     let more = serde_json::to_string(&member).map_or(room, |text| text.len() + 1);
                     // The role's condition and the fleet's own leave room for so many machines'.
@@ -61,18 +61,18 @@
         self.refuse_reports_of(&refused);
     }
 
-    fn standing(&self, id: &MachineId) -> Standing {
+    fn registration(&self, id: &MachineId) -> Registration {
         if self.replica.machines.contains_key(id) {
-            return Standing::Known;
+            return Registration::Known;
         }
         let deleted = self.leader.deleting.contains(id) || self.leader.deleted.contains_key(id);
         if deleted || self.replica.is_gone(id) {
-            return Standing::Deleted;
+            return Registration::Deleted;
         }
         if self.machines.get(id).is_some_and(|m| m.registering) {
-            return Standing::Known;
+            return Registration::Known;
         }
-        if self.leader.alive.contains_key(id) { Standing::Alive } else { Standing::Unproven }
+        if self.leader.alive.contains_key(id) { Registration::Alive } else { Registration::Unproven }
     }
 
     fn new_member(&mut self, report: &Report, members: &[FleetMember]) -> FleetMember {
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -2,7 +2,8 @@
 
 use super::calls::{Services, spawn};
 use super::client::Client;
-use super::server::{Bounces, Gate, PeerAsk, Standing, UserAsk, WorkerAsk, look_at_siblings, serve, tell_sibling};
+use super::server::{Gate, PeerAsk, UserAsk, WorkerAsk, serve};
+use super::siblings::{NodeStatus, RedirectedWorkers, look_at_siblings, notify_sibling};
 use crate::coordination::{Clock, Command, Core, Effect, UserAnswer, Waiter, WorkerAnswer};
 use crate::protocol::peer::CancellationAck;
 use crate::settings::{Platform, Policy};
@@ -47,11 +48,11 @@
     let (peers, from_peers) = mpsc::channel::<PeerAsk>(PEER_ASKS);
     let (outcomes, done) = mpsc::unbounded_channel::<Command>();
     let gate = Arc::new(Gate {
-        bounces: Bounces::default(),
+        redirected: RedirectedWorkers::default(),
         users,
         workers,
         peers,
-        standing: Standing::default(),
+        status: NodeStatus::default(),
         siblings: platform.siblings.iter().map(|s| (s.label.clone(), s.address)).collect(),
         client,
     });
@@ -90,8 +91,8 @@
         queues.take_batch(&mut core, &mut waiters, &clock);
         let until = Instant::now() + budget;
         let effects = core.round(clock(), &mut || Instant::now() < until);
-        gate.standing.ready.store(core.is_ready(), Ordering::Relaxed);
-        gate.standing.reaches_state.store(core.reaches_state(), Ordering::Relaxed);
+        gate.status.ready.store(core.is_ready(), Ordering::Relaxed);
+        gate.status.reaches_state.store(core.reaches_state(), Ordering::Relaxed);
         for effect in effects {
             carry_out(effect, &services, &deliver, &mut waiters, &gate);
         }
@@ -191,7 +192,7 @@
         Effect::Peer { call, to, message } => {
             let gate = gate.clone();
             spawn(
-                async move { Command::PeerAnswer { call, answer: tell_sibling(&gate, &to, &message).await } },
+                async move { Command::PeerAnswer { call, answer: notify_sibling(&gate, &to, &message).await } },
                 deliver.clone(),
             );
         }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,3 +5,4 @@
 pub mod daemon;
 pub mod limits;
 pub mod server;
+mod siblings;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,12 +1,15 @@
 //! The HTTP side that users, workers and siblings see.
 
 use super::client::Client;
+use super::siblings::{
+    NodeStatus, RedirectedWorkers, STATUS_PATH, cancellation_noticed, pass_on, pass_report, relayed,
+};
 use crate::coordination::{UserAnswer, UserRequest, WorkerAnswer};
-use crate::protocol::peer::{CANCELLED_PATH, CancellationAck, Cancelled, Relay, Relayed};
+use crate::protocol::peer::{CANCELLED_PATH, CancellationAck, Cancelled};
 use crate::protocol::user::{self, JobState, JobStatus, Refusal};
 use crate::protocol::worker::{Orders, Redirect, Report};
 use crate::protocol::{BODY_LIMIT, decode, encode};
-use crate::units::{JobId, MachineId, Term};
+use crate::units::{JobId, Term};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -15,15 +18,14 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 /// A user's request for the owner of all state, with the way back.
 pub struct UserAsk {
@@ -52,118 +54,23 @@
 }
 
 /// Users give up after 5 s and workers after 4 s.
-const ANSWER_LIMIT: Duration = Duration::from_millis(3500);
+pub(super) const ANSWER_LIMIT: Duration = Duration::from_millis(3500);
 const BODY_TIME: Duration = Duration::from_secs(5);
 const HEAD_TIME: Duration = Duration::from_secs(75);
 const HEAD_TIME_CROWDED: Duration = Duration::from_secs(2);
-const RELAY_LIMIT: Duration = Duration::from_millis(1500);
-const TELL_LIMIT: Duration = Duration::from_millis(700);
-const STANDING_PATH: &str = "/standing";
-const LOOK_EVERY: Duration = Duration::from_millis(500);
-const LOOK_LIMIT: Duration = Duration::from_millis(700);
-
-/// Siblings asked in vain before the user is refused.
-const RELAYS_MOST: usize = 2;
-
-/// A worker that comes back so soon after it was sent to its owner could not reach it. After this
-/// time it is sent there again.
-const RELAY_SPAN: Duration = Duration::from_secs(30);
-const BOUNCES_KEPT: usize = 4096;
-
-/// Workers sent on to another controller, with when that was.
-#[derive(Default)]
-pub struct Bounces(Mutex<HashMap<MachineId, Instant>>);
-
-impl Bounces {
-    /// Whether the worker was sent on a short while ago. If not, it is noted that it is now.
-    fn came_back(&self, id: &MachineId) -> bool {
-        let now = Instant::now();
-        let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if map.len() >= BOUNCES_KEPT {
-            map.retain(|_, at| now.duration_since(*at) < RELAY_SPAN);
-        }
-        match map.get(id).map(|at| now.duration_since(*at)) {
-            Some(age) if age < RELAY_SPAN => true,
-            _ => {
-                map.insert(id.clone(), now);
-                false
-            }
-        }
-    }
-}
-
-/// How this controller stands, for itself, its siblings and the load balancer.
-#[derive(Default)]
-pub struct Standing {
-    /// It has read the stored records.
-    pub ready: AtomicBool,
-    /// Whether the state service serves this controller.
-    pub reaches_state: AtomicBool,
-    /// Only this controller can't reach the state service, so users had better go elsewhere.
-    alone: AtomicBool,
-    /// Siblings that reach the state service while this controller does not.
-    helpers: Mutex<Vec<SocketAddr>>,
-}
-
-impl Standing {
-    fn healthy(&self) -> bool {
-        self.ready.load(Ordering::Relaxed) && !self.alone.load(Ordering::Relaxed)
-    }
-
-    fn helpers(&self) -> Vec<SocketAddr> {
-        self.helpers.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-}
-
-/// While the state service can't be reached, finds out from the siblings whether that is an
-/// outage, in which all are as well off as any, or whether this controller is the one cut off.
-pub async fn look_at_siblings(gate: Arc<Gate>) {
-    loop {
-        tokio::time::sleep(LOOK_EVERY).await;
-        let standing = &gate.standing;
-        let mut helpers = Vec::new();
-        let mut alone = false;
-        if !standing.reaches_state.load(Ordering::Relaxed) && !gate.siblings.is_empty() {
-            let answers: Vec<_> = gate
-                .siblings
-                .iter()
-                .map(|(_, addr)| (*addr, tokio::spawn(reaches_state(gate.client.clone(), *addr))))
-                .collect();
-            // Cut off from all of them too, it knows nothing of any outage.
-            alone = true;
-            for (addr, answer) in answers {
-                match answer.await {
-                    Ok(Some(true)) => helpers.push(addr),
-                    Ok(Some(false)) => alone = false,
-                    _ => {}
-                }
-            }
-            alone |= !helpers.is_empty();
-        }
-        if standing.alone.swap(alone, Ordering::Relaxed) != alone {
-            tracing::info!(alone, "whether only this controller can't reach the state service");
-        }
-        *standing.helpers.lock().unwrap_or_else(PoisonError::into_inner) = helpers;
-    }
-}
-
-async fn reaches_state(client: Client, sibling: SocketAddr) -> Option<bool> {
-    let answer = client.call(sibling, Method::GET, STANDING_PATH, Vec::new(), LOOK_LIMIT).await.ok()?;
-    bitcode::decode(&answer.body).ok()
-}
 
 /// What all connections share.
 pub struct Gate {
     /// Workers that come back although they were sent elsewhere.
-    pub bounces: Bounces,
+    pub redirected: RedirectedWorkers,
     /// Users' requests.
     pub users: mpsc::Sender<UserAsk>,
     /// Workers' reports.
     pub workers: mpsc::Sender<WorkerAsk>,
     /// Siblings' messages.
     pub peers: mpsc::Sender<PeerAsk>,
-    /// How this controller stands.
-    pub standing: Standing,
+    /// What this controller can do.
+    pub status: NodeStatus,
     /// The other controllers, by label.
     pub siblings: Vec<(String, SocketAddr)>,
     /// For what is passed on to them.
@@ -171,22 +78,22 @@
 }
 
 /// An answer before it becomes a response.
-struct Plain {
-    status: u16,
-    retry_after_s: Option<u32>,
-    body: Vec<u8>,
+pub(super) struct Plain {
+    pub status: u16,
+    pub retry_after_s: Option<u32>,
+    pub body: Vec<u8>,
 }
 
 impl Plain {
-    fn new(status: u16, body: Vec<u8>) -> Plain {
+    pub fn new(status: u16, body: Vec<u8>) -> Plain {
         Plain { status, retry_after_s: None, body }
     }
 
-    fn error(status: u16, error: &str) -> Plain {
+    pub fn error(status: u16, error: &str) -> Plain {
         Plain::new(status, encode(&Refusal { error }))
     }
 
-    fn unavailable(retry_after_s: u32) -> Plain {
+    pub fn unavailable(retry_after_s: u32) -> Plain {
         Plain { retry_after_s: Some(retry_after_s), ..Plain::error(503, "not now") }
     }
 
@@ -297,10 +204,10 @@
     let method = request.method().clone();
     let path = request.uri().path().to_string();
     if method == Method::GET && path == "/healthz" {
-        return if gate.standing.healthy() { Plain::new(200, encode(&true)) } else { Plain::unavailable(1) };
+        return if gate.status.healthy() { Plain::new(200, encode(&true)) } else { Plain::unavailable(1) };
     }
-    if peers && path == STANDING_PATH {
-        let reaches = gate.standing.reaches_state.load(Ordering::Relaxed);
+    if peers && path == STATUS_PATH {
+        let reaches = gate.status.reaches_state.load(Ordering::Relaxed);
         return Plain::new(200, bitcode::encode(&reaches));
     }
     let limit = if peers { BODY_LIMIT * 2 } else { BODY_LIMIT };
@@ -313,28 +220,13 @@
         return relayed(gate, &body).await;
     }
     if peers && path == CANCELLED_PATH {
-        return told(gate, &body).await;
+        return cancellation_noticed(gate, &body).await;
     }
     route(gate, &method, &path, &body, !peers).await
 }
 
-/// A sibling tells of cancelled jobs and waits to hear whether we see to them.
-async fn told(gate: &Gate, body: &[u8]) -> Plain {
-    let Ok(message) = bitcode::decode::<Cancelled>(body) else {
-        return Plain::error(400, "malformed");
-    };
-    let (back, answer) = oneshot::channel();
-    if gate.peers.try_send(PeerAsk { message, back }).is_err() {
-        return Plain::unavailable(1);
-    }
-    match timeout(ANSWER_LIMIT, answer).await {
-        Ok(Ok(knows)) => Plain::new(200, bitcode::encode(&knows)),
-        _ => Plain::unavailable(1),
-    }
-}
-
 /// `relay`: what can't be served here may be passed to a sibling.
-async fn route(gate: &Gate, method: &Method, path: &str, body: &[u8], relay: bool) -> Plain {
+pub(super) async fn route(gate: &Gate, method: &Method, path: &str, body: &[u8], relay: bool) -> Plain {
     if path == "/checkin" {
         if method != Method::POST {
             return Plain::error(405, "method not allowed");
@@ -427,7 +319,7 @@
         Ok(Ok(WorkerAnswer::Redirect(report_to))) => {
             if relay
                 && let Some(owner) = &report_to
-                && gate.bounces.came_back(&machine)
+                && gate.redirected.came_back(&machine)
                 && let Some(answer) = pass_report(gate, owner, body).await
             {
                 return answer;
@@ -437,47 +329,3 @@
         _ => Plain::unavailable(1),
     }
 }
-
-/// Tells a sibling of cancelled jobs. Without an answer nothing is known.
-pub async fn tell_sibling(gate: &Gate, label: &str, message: &Cancelled) -> Option<CancellationAck> {
-    let (_, addr) = gate.siblings.iter().find(|(sibling, _)| sibling == label)?;
-    let body = bitcode::encode(message);
-    let answer = gate.client.call(*addr, Method::POST, CANCELLED_PATH, body, TELL_LIMIT).await.ok()?;
-    if answer.status == 200 { bitcode::decode(&answer.body).ok() } else { None }
-}
-
-/// The worker can't reach its owner but both reach us: without this its lease would run out. The
-/// owner's answer carries the owner's token.
-async fn pass_report(gate: &Gate, owner: &str, body: &[u8]) -> Option<Plain> {
-    let (_, addr) = gate.siblings.iter().find(|(label, _)| label == owner)?;
-    let relay = Relay { path: "/checkin".to_string(), post: true, body: body.to_vec() };
-    let answer = gate.client.call(*addr, Method::POST, "/relay", bitcode::encode(&relay), RELAY_LIMIT).await.ok()?;
-    let relayed = bitcode::decode::<Relayed>(&answer.body).ok()?;
-    (answer.status == 200 && relayed.status == 200).then(|| Plain::new(200, relayed.body))
-}
-
-/// This controller can't reach the state service; a sibling that is known to is asked instead. The
-/// user hears the refusal at once if there is none.
-async fn pass_on(gate: &Gate, method: &Method, path: &str, body: &[u8]) -> Option<Plain> {
-    let relay = Relay { path: path.to_string(), post: method == Method::POST, body: body.to_vec() };
-    let message = bitcode::encode(&relay);
-    for addr in gate.standing.helpers().into_iter().take(RELAYS_MOST) {
-        let answer = gate.client.call(addr, Method::POST, "/relay", message.clone(), RELAY_LIMIT).await;
-        let Ok(answer) = answer else { continue };
-        let Ok(relayed) = bitcode::decode::<Relayed>(&answer.body) else { continue };
-        if answer.status == 200 && relayed.status != 503 {
-            return Some(Plain { status: relayed.status, retry_after_s: relayed.retry_after_s, body: relayed.body });
-        }
-    }
-    None
-}
-
-async fn relayed(gate: &Gate, body: &[u8]) -> Plain {
-    let Ok(relay) = bitcode::decode::<Relay>(body) else {
-        return Plain::error(400, "malformed");
-    };
-    let method = if relay.post { Method::POST } else { Method::GET };
-    let answer = Box::pin(route(gate, &method, &relay.path, &relay.body, false)).await;
-    let relayed = Relayed { status: answer.status, retry_after_s: answer.retry_after_s, body: answer.body };
-    Plain::new(200, bitcode::encode(&relayed))
-}
