--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -455,9 +455,7 @@
         }
         self.at(100 * MS, Event::WorkerStep { machine: id.clone() });
         let Some(worker) = self.workers.get_mut(&id) else { return };
-        if worker.hung_until > now {
-            return;
-        }
+        // Also one that hangs: it may go on with its tasks at any moment within its lease, and not after.
         if now > worker.renewed + LEASE {
             worker.tasks.clear();
             worker.exited.clear();
@@ -466,6 +464,9 @@
             worker.changed = true;
             return;
         }
+        if worker.hung_until > now {
+            return;
+        }
         let due: Vec<((JobId, u32), Task)> =
             worker.tasks.iter().filter(|(_, t)| t.due <= now).map(|(k, t)| (k.clone(), t.clone())).collect();
         for (key, task) in due {
