Of what may leave, what saves goes first, and room on its way is counted

Now what saves counts as losing only the time it takes to save, machines that are being emptied count as room, and the wait is half a minute.

--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -11,9 +11,6 @@
 /// A job that made others leave does so again only after this.
 const PREEMPTION_PAUSE: Micros = Micros::from_millis(1000);
 
-/// Ordinary work that found none to make leave looks again after this: with hundreds waiting that costs most of a round.
-const FRUITLESS_PAUSE: Micros = Micros::from_millis(250);
-
 /// A job's only task is not stopped before it has run for so long.
 const JUST_BEGUN: Micros = Micros::from_millis(35_000);
 
@@ -39,7 +36,8 @@
             .filter_map(|spot| self.victims(job, spot).map(|(loss, victims)| (loss, spot, victims)))
             .collect();
         chances.sort_by_key(|(loss, spot, _)| (*loss, spot.free.cpus));
-        let mut wanted = job.waiting();
+        // Room that is being made already: what saves first takes a while to leave.
+        let mut wanted = job.waiting().saturating_sub(self.room_on_its_way(job, spots));
         let mut chosen = Vec::new();
         for (_, spot, victims) in chances {
             if wanted == 0 {
@@ -51,11 +49,9 @@
                 wanted -= 1;
             }
         }
-        let pause = match (chosen.is_empty(), job.spec.priority) {
-            (false, _) => PREEMPTION_PAUSE,
-            (true, Priority::Normal) => FRUITLESS_PAUSE,
-            (true, _) => Micros::ZERO,
-        };
+        // Ordinary work pauses also where none was found: with hundreds waiting to look costs most of a round.
+        let pauses = !chosen.is_empty() || job.spec.priority == Priority::Normal;
+        let pause = if pauses { PREEMPTION_PAUSE } else { Micros::ZERO };
         if let Some(job) = self.jobs.get_mut(id) {
             job.preempting_until = now + pause;
         }
@@ -94,7 +90,21 @@
         job.done == 0 && job.live.occupying() == 1 && ran < JUST_BEGUN
     }
 
-    /// Lower work that would have to leave a machine to let one task of the job in, the youngest
+    /// How many machines will have room for one task of the job once those have left that were told to.
+    fn room_on_its_way(&self, job: &Job, spots: &[Spot]) -> u32 {
+        let leaving = |spot: &Spot| {
+            let starts = self.usage.placed(&spot.id).into_iter().flat_map(|placed| &placed.starts);
+            let stopped = starts.filter_map(|(id, task)| {
+                let other = self.jobs.get(id)?;
+                other.live.get(*task).filter(|live| live.occupies() && live.stop.is_some()).map(|_| other.room)
+            });
+            stopped.fold(spot.free, |free, room| free.plus(&room))
+        };
+        let on_its_way = |spot: &&Spot| !job.room.fits_in(&spot.free) && job.room.fits_in(&leaving(spot));
+        spots.iter().filter(on_its_way).count() as u32
+    }
+
+    /// Lower work that would have to leave a machine to let one task of the job in, what loses least
     /// first, and what that costs. None if it would not help.
     fn victims(&self, job: &Job, spot: &Spot) -> Option<(Loss, Victims)> {
         let now = self.now();
@@ -109,21 +119,24 @@
                 let live = victim.live.get(*task)?;
                 let below = victim.urgency.priority < job.spec.priority && victim.spec.kind == Kind::Array;
                 let stoppable = live.phase().on_machine() && live.stop.is_none();
-                let began = live.running_since.unwrap_or(now);
+                let ran = now.since(live.running_since.unwrap_or(now));
+                // One that saves when it is stopped goes on from there.
+                let saves = victim.spec.checkpoint_s > 0.0 && victim.spec.save_s <= self.policy.stop_grace_s;
+                let loss = if saves { ran.min(Micros::from_secs_f64(victim.spec.save_s)) } else { ran };
                 (below && stoppable && !self.has_just_begun(victim, live))
-                    .then(|| (now.since(began), other.clone(), *task, victim.room))
+                    .then(|| (loss, other.clone(), *task, victim.room))
             })
             .collect();
         lower.sort();
         let mut free = spot.free;
         let mut chosen = Vec::new();
         let mut lost = 0;
-        for (ran, other, task, room) in lower {
+        for (loss, other, task, room) in lower {
             if job.room.fits_in(&free) {
                 break;
             }
             free = free.plus(&room);
-            lost += ran.0 + 1;
+            lost += loss.0 + 1;
             chosen.push((other, task));
         }
         (job.room.fits_in(&free) && !chosen.is_empty()).then_some(((!machine.holds(&job.spec.image), lost), chosen))
--- a/src/settings/policy.rs
+++ b/src/settings/policy.rs
@@ -99,7 +99,7 @@
     /// That further wait is never longer than this.
     wait_large_most_ms: u64 = 600000, 0, 3600000;
     /// Ordinary work beyond its team's guarantee makes work of the lowest priority leave after it has waited this long.
-    preempt_after_ms: u64 = 10000, 0, 3600000;
+    preempt_after_ms: u64 = 30000, 0, 3600000;
     /// A job of which no task was ever started goes before all others of its rank after this long; of an array
     /// one task.
     begin_within_ms: u64 = 150000, 1000, 3600000;
