--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -1,12 +1,9 @@
-//! Planning capacity: which share lacks room for what waits, which machines go to another share, what is rented and
-//! what is returned.
+//! Planning capacity: which share lacks room for what waits, which machines go to another share, and which are
+//! returned.
 
 use super::Core;
-use super::boots::{Reliability, overdue};
 use super::jobs::Job;
-use super::leader::{Boot, Call, Offer};
-use crate::bookkeeping::schema::{Hold, Role};
-use crate::protocol::cloud::Rental;
+use crate::bookkeeping::schema::Hold;
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::units::{MachineId, Micros, Room};
 use std::collections::{BTreeMap, HashMap};
@@ -46,10 +43,6 @@
 /// One in so many machines is returned at a time, so that a short lull doesn't empty the cluster.
 const RETURN_PART: usize = 100;
 
-/// Machines that one request may ask for.
-const RENTAL_MOST: u32 = 50;
-/// Boot time of a type that the cloud does not list any more, in seconds.
-const USUAL_BOOT_S: f64 = 60.0;
 /// Estimates below this are taken for it, in seconds.
 const ESTIMATE_LEAST_S: f64 = 5.0;
 
@@ -110,33 +103,6 @@
             .collect()
     }
 
-    /// When a machine that boots should be up.
-    fn boot_span(&self, boot: &Boot) -> Micros {
-        let usual_s = self.types.get(&boot.machine_type).map_or(USUAL_BOOT_S, |info| info.wire.boot_s);
-        self.leader.boot_history.ordinary_span(&boot.machine_type, usual_s)
-    }
-
-    /// Machines that boot and should be up by now.
-    fn overdue_boots(&self) -> impl Iterator<Item = &Boot> {
-        overdue(&self.leader.boots, |boot| self.boot_span(boot), self.now())
-    }
-
-    /// Machines that boot and can be counted on.
-    fn boot_slots(&self) -> Vec<Slot> {
-        let now = self.now();
-        let likely = self.leader.boots.values().filter(|boot| now.since(boot.since) <= self.boot_span(boot));
-        likely
-            .map(|b| Slot {
-                id: None,
-                machine_type: b.machine_type.clone(),
-                zone: b.zone.clone(),
-                spot: b.spot,
-                free: self.types.get(&b.machine_type).map(|t| t.room).unwrap_or_default(),
-                untouched: true,
-            })
-            .collect()
-    }
-
     /// Fits the waiting tasks of a share into its machines and notes what is left over, as far as
     /// that is worth machines of its own.
     pub(super) fn fill(&self, share: u32, slots: &mut [Slot], unmet: &mut Vec<Unmet>) {
@@ -314,124 +280,6 @@
         most.saturating_sub(moving)
     }
 
-    /// Whether any kind of machine that takes such a task is not known to be sold out.
-    pub(super) fn can_rent_for(&self, unmet: &Unmet) -> bool {
-        let reliability = self.leader.boot_history.reliability(std::iter::empty(), self.now());
-        self.cheapest(&unmet.spec, &unmet.zones, &BTreeMap::new(), &reliability).is_some()
-    }
-
-    fn rent_for(&mut self, unmet: &[Unmet]) {
-        let now = self.now();
-        let in_flight = self.leader.calls.values().chain(self.leader.again.iter().map(|(_, c)| c));
-        // Until the answer is here it isn't known what is coming.
-        if in_flight.into_iter().any(|c| matches!(c, Call::Rent(..))) {
-            return;
-        }
-        self.leader.refused.retain(|_, until| *until > now);
-        let by_size = (self.replica.machines.len() as f64 * self.policy.boots_part) as u64;
-        let most = u64::from(self.policy.boots_max).max(by_size);
-        // Those that may never come up leave room for others, but not without bound.
-        let (all, late) = (self.leader.boots.len() as u64, self.overdue_boots().count() as u64);
-        let room_left = most.saturating_sub(all - late.min(most));
-        let orders = self.offers_for(unmet, room_left);
-        self.send_rentals(orders);
-    }
-
-    /// What to rent for tasks that find no room, and how many of each, up to so many machines.
-    fn offers_for(&self, unmet: &[Unmet], mut room_left: u64) -> BTreeMap<Offer, u32> {
-        let mut orders: BTreeMap<Offer, u32> = BTreeMap::new();
-        // Counted once: a walk over all machines for each one to be rented took most of a second.
-        let mut by_zone: BTreeMap<String, u64> = BTreeMap::new();
-        for record in self.replica.machines.values() {
-            match by_zone.get_mut(&record.value.zone) {
-                Some(count) => *count += 1,
-                None => *by_zone.entry(record.value.zone.clone()).or_default() = 1,
-            }
-        }
-        let reliability = self.leader.boot_history.reliability(self.overdue_boots(), self.now());
-        let mut fresh: Vec<Slot> = Vec::new();
-        for u in unmet {
-            let mut zones = u.zones.clone();
-            let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut zones);
-            while count > 0 && room_left > 0 {
-                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &by_zone, &reliability) else { break };
-                let mut slot = Slot {
-                    id: None,
-                    machine_type: offer.0.clone(),
-                    zone: offer.1.clone(),
-                    spot: offer.2,
-                    free: room,
-                    untouched: true,
-                };
-                let taken = fit(&u.spec, count, std::slice::from_mut(&mut slot), &mut zones);
-                if taken == 0 {
-                    break;
-                }
-                count -= taken;
-                fresh.push(slot);
-                *by_zone.entry(offer.1.clone()).or_default() += 1;
-                *orders.entry(offer).or_default() += 1;
-                room_left -= 1;
-            }
-        }
-        orders
-    }
-
-    fn send_rentals(&mut self, orders: BTreeMap<Offer, u32>) {
-        let term = self.held(Role::Leader).unwrap_or_default();
-        for (offer, count) in orders {
-            self.leader.rental_requests += 1;
-            // The term is this process's alone, so the name never comes again.
-            let request = format!("r-{}-{}", term.0, self.leader.rental_requests);
-            let (machine_type, zone, spot) = offer;
-            let rental = Rental { request, machine_type, zone, spot, count: count.min(RENTAL_MOST) };
-            self.cloud(Call::Rent(rental, 0));
-        }
-    }
-
-    /// The offer with the lowest price for each task it can hold. `by_zone`: machines there are and
-    /// are to be. One that fails costs its boot
-    /// and the time of those who wait for it.
-    fn cheapest(
-        &self,
-        spec: &JobSpec,
-        zones: &BTreeMap<String, u64>,
-        by_zone: &BTreeMap<String, u64>,
-        reliability: &Reliability,
-    ) -> Option<(Offer, Room)> {
-        let need = spec.room();
-        let most = u64::from(spec.tasks.div_ceil(2));
-        let zone_allowed = |zone: &String| {
-            spec.zone.as_ref().is_none_or(|want| want == zone)
-                && (!spec.one_zone || zones.keys().all(|z| z == zone))
-                && (!spec.spread || zones.get(zone).copied().unwrap_or(0) < most)
-        };
-        let mut best: Option<((u64, u64), Offer, Room)> = None;
-        for info in self.types.values() {
-            if spec.types.as_ref().is_some_and(|t| !t.contains(&info.wire.name)) || !need.fits_in(&info.room) {
-                continue;
-            }
-            let tasks = count_in(&need, &info.room).max(1);
-            for zone in info.wire.zones.iter().filter(|z| zone_allowed(z)) {
-                for spot in [false, true] {
-                    let offer = (info.wire.name.clone(), zone.clone(), spot);
-                    if (spot && !spec.spot) || self.leader.refused.contains_key(&offer) {
-                        continue;
-                    }
-                    let price = if spot { info.wire.spot_price.unwrap_or(info.wire.price) } else { info.wire.price };
-                    let comes_up = reliability.of(&offer);
-                    let cost = (price / tasks as f64 / (comes_up * comes_up) * 1e6) as u64;
-                    // Among equals the zone with the fewest machines.
-                    let here = by_zone.get(zone).copied().unwrap_or(0);
-                    if best.as_ref().is_none_or(|(b, ..)| (cost, here) < *b) {
-                        best = Some(((cost, here), offer, info.room));
-                    }
-                }
-            }
-        }
-        best.map(|(_, offer, room)| (offer, room))
-    }
-
     /// Machines that nothing needs, and nothing has used for a while, are returned.
     fn return_idle(&mut self, slots: &BTreeMap<u32, Vec<Slot>>, unmet: &[Unmet]) {
         let now = self.now();
@@ -459,7 +307,7 @@
     }
 }
 
-fn count_in(each: &Room, room: &Room) -> u64 {
+pub(super) fn count_in(each: &Room, room: &Room) -> u64 {
     let by = |each: u64, room: u64| room.checked_div(each).unwrap_or(u64::MAX);
     by(each.cpus, room.cpus).min(by(each.gpus, room.gpus)).min(by(each.memory, room.memory))
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -26,6 +26,7 @@
 mod reclaim;
 mod records;
 mod registration;
+mod rentals;
 mod reports;
 mod roles;
 mod stages;
