--- a/tests/rules/on_call.rs
+++ b/tests/rules/on_call.rs
@@ -11,6 +11,18 @@
 /// How often it is looked at who holds a share.
 const LOOK_EVERY: u64 = 20 * MS;
 
+const TEAMS: [&str; 3] = ["red", "blue", "green"];
+
+/// Services of two tasks, for each team in turn.
+fn submit_services(world: &mut World, from: u64, count: u64) -> Vec<JobId> {
+    (0..count).map(|n| world.submit(from + n, World::spec(Kind::Service, TEAMS[n as usize % 3], 2, 1.0))).collect()
+}
+
+/// How many of these machines are not there any more.
+fn count_gone(world: &World, machines: &[MachineId]) -> usize {
+    machines.iter().filter(|id| !world.workers.contains_key(id)).count()
+}
+
 /// How often a share was given up or taken within a span.
 fn changes_of_holder(world: &mut World, share: u32, span: u64) -> usize {
     let role = format!("share/{share}");
@@ -53,9 +65,7 @@
     for seed in seeds(61, 3) {
         let hold = seed % 2 == 0;
         let mut world = World::with_policy(seed, keeping_idle_machines());
-        for n in 0..6 {
-            world.submit(n + 1, World::spec(Kind::Service, ["red", "blue", "green"][n as usize % 3], 2, 1.0));
-        }
+        submit_services(&mut world, 1, 6);
         world.run_for(30 * S);
         let (before, started) = (world.stored_machines(), world.started);
         let node = world.holder("share/1").expect("owned");
@@ -64,7 +74,7 @@
             world.cut(16 * S, hold, move |a, b| *a == Place::Node(node) && matches!(b, Place::Worker(_)));
             changes += changes_of_holder(&mut world, 1, 40 * S);
         }
-        let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+        let lost = count_gone(&world, &before);
         assert!(lost <= 1, "{seed}: {lost} machines were deleted");
         assert!(world.started <= started + 2, "{seed}: services were started again");
         // Given up, taken by a sibling, and the same on the way back, each time.
@@ -74,8 +84,6 @@
     }
 }
 
-const TEAMS: [&str; 3] = ["red", "blue", "green"];
-
 /// Jobs that fail on every machine after so long at work: arrays, a gang, and a service.
 fn submit_broken(world: &mut World, from: u64, fails_after: u64) -> Vec<JobId> {
     let shapes = [(Kind::Array, 8), (Kind::Array, 20), (Kind::Array, 1), (Kind::Gang, 3), (Kind::Service, 2)];
@@ -99,8 +107,7 @@
     for seed in seeds(62, 4) {
         let mut world = World::with_policy(seed, keeping_idle_machines());
         world.run_for(5 * S);
-        let services: Vec<JobId> =
-            (0..3).map(|n| world.submit(900 + n, World::spec(Kind::Service, TEAMS[n as usize], 2, 1.0))).collect();
+        let services = submit_services(&mut world, 900, 3);
         world.run_for(15 * S);
         let broken = submit_broken(&mut world, 1, (seed % 4) * S);
         world.run_for(60 * S);
@@ -115,7 +122,7 @@
         assert!(world.started - all >= u64::from(again) + 24, "{seed}: the others did not start");
         let late = healthy.iter().filter(|id| world.jobs[*id].told != Some(JobState::Done)).count();
         assert_eq!(late, 0, "{seed}: healthy jobs are not done after a minute");
-        let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+        let lost = count_gone(&world, &before);
         assert_eq!(lost, 0, "{seed}: machines were given back or replaced");
         assert!(world.cloud.machines.len() <= rented + 1, "{seed}: machines were rented for broken jobs");
         for id in &services {
@@ -368,9 +375,7 @@
             let seed = 70_000 + nth as u64 * 10 + u64::from(hold);
             let name = format!("{loss:?} for {} s, held: {hold}", span / S);
             let mut world = World::with_policy(seed, keeping_idle_machines());
-            let services: Vec<JobId> = (0..6)
-                .map(|n| world.submit(n + 1, World::spec(Kind::Service, TEAMS[n as usize % 3], 2, 1.0)))
-                .collect();
+            let services = submit_services(&mut world, 1, 6);
             world.run_for(30 * S);
             let (before, started) = (world.stored_machines(), world.started);
             for role in ["leader", "share/1"] {
@@ -385,7 +390,7 @@
                 let changes = changes_of_holder(&mut world, 1, span + 14 * S);
                 assert!(changes <= 6, "{name}: share 1 was given up or taken {changes} times");
             }
-            let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+            let lost = count_gone(&world, &before);
             assert_eq!(lost, 0, "{name}: machines were deleted");
             assert!(world.started <= started + 2, "{name}: services were started again");
             cancel_services(&mut world);
@@ -416,7 +421,7 @@
         }
         world.run_for(8 * S);
         assert_eq!(world.unowned_shares(), 0, "{seed}: a share has no owner");
-        let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+        let lost = count_gone(&world, &before);
         assert!(lost <= 1, "{seed}: {lost} machines were deleted");
         finish(&mut world, &format!("standstill {seed}"));
     }
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -125,10 +125,7 @@
 
     pub fn hang(&mut self, nth: usize, duration: u64) {
         if let Some(id) = self.nth_worker(nth) {
-            let until = self.now + duration;
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.hung_until = until;
-            }
+            self.hang_machine(&id, duration);
         }
     }
 
