Cargo workspace: units in a package of their own, shared versions and lints

Need: the library and the daemon grow by packages under crates/, with one place for versions of dependencies and for lints.

--- a/src/units.rs
+++ b/crates/units/src/lib.rs
@@ -1,4 +1,4 @@
-//! Newtypes shared by all layers.
+//! Newtypes shared by all packages: times, ids, terms and amounts of room.
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,10 +6,13 @@
 //! * [`protocol`]: the messages as they look on the wire and what makes them valid;
 //! * [`coordination`]: who owns what, what runs where; pure, without I/O or clock;
 //! * [`bookkeeping`]: what is kept in the state service and the replica of it.
+//!
+//! Packages of their own under `crates/`: [`units`], the types that all share.
 
 pub mod bookkeeping;
 pub mod coordination;
 pub mod protocol;
 pub mod settings;
 pub mod transport;
-pub mod units;
+
+pub use burlhatch_units as units;
