--- /dev/null
+++ b/crates/zones/src/census.rs
@@ -0,0 +1,111 @@
+//! How many machines each zone and share has, and how many of them are silent. Kept by single changes: with thousands
+//! of machines a walk over all of them for each question would take most of a round.
+
+use burlhatch_units::MachineId;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// Machines of one share in one zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// All of them.
+    pub machines: u32,
+    /// Those that are silent.
+    pub silent: u32,
+}
+
+impl Count {
+    /// Whether more than that part of them is silent.
+    pub fn is_silent(&self, part: f64) -> bool {
+        f64::from(self.silent) > f64::from(self.machines) * part
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    zone: Arc<str>,
+    share: u32,
+    silent: bool,
+}
+
+/// The machines of one zone.
+#[derive(Debug, Default)]
+struct ZoneMachines {
+    shares: BTreeMap<u32, Count>,
+    machines: BTreeSet<MachineId>,
+}
+
+/// All machines by zone and share.
+#[derive(Debug, Default)]
+pub struct Census {
+    entries: HashMap<MachineId, Entry>,
+    zones: BTreeMap<Arc<str>, ZoneMachines>,
+}
+
+impl Census {
+    /// A machine is in that zone and belongs to that share.
+    pub fn put(&mut self, id: &MachineId, zone: &str, share: u32) {
+        if let Some(entry) = self.entries.get(id) {
+            if &*entry.zone == zone && entry.share == share {
+                return;
+            }
+            self.remove(id);
+        }
+        let name = match self.zones.get_key_value(zone) {
+            Some((name, _)) => name.clone(),
+            None => Arc::from(zone),
+        };
+        let there = self.zones.entry(name.clone()).or_default();
+        there.machines.insert(id.clone());
+        there.shares.entry(share).or_default().machines += 1;
+        self.entries.insert(id.clone(), Entry { zone: name, share, silent: false });
+    }
+
+    /// A machine is gone.
+    pub fn remove(&mut self, id: &MachineId) {
+        let Some(entry) = self.entries.remove(id) else { return };
+        let Some(there) = self.zones.get_mut(&entry.zone) else { return };
+        there.machines.remove(id);
+        if let Some(count) = there.shares.get_mut(&entry.share) {
+            count.machines -= 1;
+            count.silent -= u32::from(entry.silent);
+            if count.machines == 0 {
+                there.shares.remove(&entry.share);
+            }
+        }
+        if there.machines.is_empty() {
+            self.zones.remove(&entry.zone);
+        }
+    }
+
+    /// Whether a machine is silent to its holder.
+    pub fn set_silent(&mut self, id: &MachineId, silent: bool) {
+        let Some(entry) = self.entries.get_mut(id).filter(|entry| entry.silent != silent) else { return };
+        entry.silent = silent;
+        let count = self.zones.get_mut(&entry.zone).and_then(|there| there.shares.get_mut(&entry.share));
+        if let Some(count) = count {
+            count.silent = if silent { count.silent + 1 } else { count.silent - 1 };
+        }
+    }
+
+    /// Whether a machine is known to be silent.
+    pub fn is_silent(&self, id: &MachineId) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.silent)
+    }
+
+    /// Names of the zones that have machines.
+    pub fn zones(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.zones.keys()
+    }
+
+    /// Each share's machines in a zone.
+    pub fn shares(&self, zone: &str) -> impl Iterator<Item = (u32, Count)> {
+        let shares = self.zones.get(zone).into_iter().flat_map(|there| &there.shares);
+        shares.map(|(share, count)| (*share, *count))
+    }
+
+    /// The machines of a zone.
+    pub fn machines(&self, zone: &str) -> impl Iterator<Item = &MachineId> {
+        self.zones.get(zone).into_iter().flat_map(|there| &there.machines)
+    }
+}
--- /dev/null
+++ b/crates/zones/src/record.rs
@@ -0,0 +1,32 @@
+//! What a share's holder stores about a zone, so that other holders and its successor know.
+
+use crate::condition::Condition;
+use burlhatch_units::Micros;
+use serde::{Deserialize, Serialize};
+
+/// A share's view of a zone. One key for each zone and share, there only while the view is not simply `Up`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ZoneRecord {
+    /// The holder's process. The view counts as a vote only while that process holds the share.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Whether the holder finds most of its machines there silent.
+    #[serde(rename = "q")]
+    pub silent: bool,
+    /// How the zone stands to the holder.
+    #[serde(rename = "c")]
+    pub condition: Condition,
+    /// Penalty for past losses as of the time below, in whole units.
+    #[serde(rename = "p")]
+    pub penalty: u32,
+    /// Time of day at which this was written.
+    #[serde(rename = "at")]
+    pub at: Micros,
+}
+
+impl ZoneRecord {
+    /// Whether another record says the same but for what decays by itself, which alone is not worth a write.
+    pub fn says_the_same(&self, other: &ZoneRecord) -> bool {
+        (self.incarnation, self.silent, self.condition) == (other.incarnation, other.silent, other.condition)
+    }
+}
--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -3,10 +3,11 @@
 
 use super::schema::{
     BatchMember, EndRecord, FleetMember, Hold, JobRecord, Key, MachineRecord, NodeRecord, Role, RoleRecord, RunChunk,
-    from_value,
+    ZoneHoldRecord, from_value,
 };
 use crate::protocol::state::Event;
 use crate::units::{JobId, MachineId, Revision, Term};
+use burlhatch_zones::ZoneRecord;
 use ciborium::Value;
 use std::collections::{BTreeMap, HashMap};
 
@@ -34,6 +35,10 @@
     Run(JobId, u32),
     /// What became of a job.
     End(JobId),
+    /// What a share's holder says of a zone.
+    Zone(String, u32),
+    /// Whether operators hold a zone.
+    ZoneHold(String),
     /// Nothing that anybody acts on.
     Nothing,
 }
@@ -77,6 +82,10 @@
     pub ends: HashMap<JobId, Versioned<EndRecord>>,
     /// Lists of awaited jobs that are not in a batch, by name and number.
     pub pieces: BTreeMap<String, BTreeMap<u32, Versioned<Vec<JobId>>>>,
+    /// What shares' holders say of zones. One that can't be read is kept as that, so that it can be written anew.
+    pub zones: BTreeMap<(String, u32), Versioned<Option<ZoneRecord>>>,
+    /// Zones that operators hold. Whatever the key holds, it is there.
+    pub zone_holds: BTreeMap<String, Versioned<Option<ZoneHoldRecord>>>,
     /// Own deletions ahead of `applied`, so that older puts don't bring the keys back.
     removed: HashMap<Key, u64>,
 }
@@ -121,6 +130,8 @@
             Key::Run(id, chunk) => self.runs.get(id).and_then(|r| r.get(chunk)).map(|v| v.version),
             Key::End(id) => self.ends.get(id).map(|v| v.version),
             Key::AwaitedPart(name, number) => self.pieces.get(name).and_then(|p| p.get(number)).map(|v| v.version),
+            Key::Zone(zone, share) => self.zones.get(&(zone.clone(), *share)).map(|v| v.version),
+            Key::ZoneHold(zone) => self.zone_holds.get(zone).map(|v| v.version),
         };
         v.unwrap_or(0)
     }
@@ -171,6 +182,14 @@
                 }
                 Change::Nothing
             }
+            Key::Zone(zone, share) => {
+                store(&mut self.zones, (zone.clone(), share), value.map(from_value), version);
+                Change::Zone(zone, share)
+            }
+            Key::ZoneHold(zone) => {
+                store(&mut self.zone_holds, zone.clone(), value.map(from_value), version);
+                Change::ZoneHold(zone)
+            }
             Key::End(id) => {
                 // An outcome is written once and never removed.
                 if let Some(end) = value.and_then(from_value) {
--- a/src/bookkeeping/schema.rs
+++ b/src/bookkeeping/schema.rs
@@ -53,6 +53,10 @@
     End(JobId),
     /// Jobs that one job awaits, as far as its entry in a batch has no room for them.
     AwaitedPart(String, u32),
+    /// What a share's holder has to say of a zone. Versions that do not judge zones ignore it.
+    Zone(String, u32),
+    /// Operators hold a zone.
+    ZoneHold(String),
 }
 
 impl fmt::Display for Key {
@@ -68,6 +72,8 @@
             Key::Run(id, chunk) => write!(f, "{ROOT}run/{id}/{chunk}"),
             Key::End(id) => write!(f, "{ROOT}end/{id}"),
             Key::AwaitedPart(name, number) => write!(f, "{ROOT}awaits/{name}/{number}"),
+            Key::Zone(zone, share) => write!(f, "{ROOT}zone/{zone}/{share}"),
+            Key::ZoneHold(zone) => write!(f, "{ROOT}zone-hold/{zone}"),
         }
     }
 }
@@ -89,6 +95,11 @@
                 let (name, number) = rest.rsplit_once('/')?;
                 Some(Key::AwaitedPart(name.to_string(), number.parse().ok()?))
             }
+            Some(("zone", rest)) => {
+                let (zone, share) = rest.rsplit_once('/')?;
+                Some(Key::Zone(zone.to_string(), share.parse().ok()?))
+            }
+            Some(("zone-hold", zone)) => Some(Key::ZoneHold(zone.to_string())),
             Some(("run", rest)) => {
                 let (id, chunk) = rest.rsplit_once('/')?;
                 Some(Key::Run(JobId::new(id), chunk.parse().ok()?))
@@ -322,6 +333,22 @@
     }
 }
 
+/// Bytes of a zone's name at most, so that its keys stay within the state service's limit.
+const ZONE_NAME_MOST: usize = 128;
+
+/// Whether a zone's name can be part of a key.
+pub fn is_zone_storable(zone: &str) -> bool {
+    !zone.is_empty() && zone.len() <= ZONE_NAME_MOST && !zone.contains(|c: char| c.is_whitespace() || c.is_control())
+}
+
+/// That operators hold a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneHoldRecord {
+    /// Time of day since when.
+    #[serde(rename = "at")]
+    pub at: Micros,
+}
+
 /// What became of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -89,6 +89,7 @@
             .machines
             .iter()
             .filter(|(_, r)| r.value.share == share && r.value.hold.is_none())
+            .filter(|(_, r)| self.zone_takes_work(&r.value.zone))
             .map(|(id, r)| {
                 let free = self.free_room(id);
                 Slot {
@@ -106,18 +107,20 @@
     /// Fits the waiting tasks of a share into its machines and notes what is left over, as far as
     /// that is worth machines of its own.
     pub(super) fn fill(&self, share: u32, slots: &mut [Slot], unmet: &mut Vec<Unmet>) {
-        let mut jobs: Vec<&Job> =
-            self.jobs.values().filter(|j| j.share == share && j.recorded && j.over.is_none()).collect();
+        let has_zone = |job: &Job| job.spec.zone.as_ref().is_none_or(|zone| self.zone_takes_work(zone));
+        let open = |job: &&Job| job.share == share && job.recorded && job.over.is_none() && has_zone(job);
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(open).collect();
         jobs.sort_by_key(|j| (std::cmp::Reverse(j.urgency.priority), j.ready));
         let mut batch = Backlog::default();
         let mut used: HashMap<&str, Room> = HashMap::new();
         for job in &jobs {
             if let Some(team) = &job.spec.team {
-                used.entry(team).or_insert_with(|| self.usage.used_by(team));
+                used.entry(team).or_insert_with(|| self.usage.used_by(team).minus(&self.displaced_room(team)));
             }
         }
         for job in &jobs {
-            let waiting = self.worth_capacity(job, slots);
+            // Replicas in lost zones need room elsewhere before they are proven gone: boots take as long as the proof.
+            let waiting = self.worth_capacity(job, slots) + u64::from(self.displaced_of(job.live.job()));
             let mut count = waiting;
             if let Some(team) = job.spec.team.as_deref() {
                 let sum = used.entry(team).or_default();
@@ -167,7 +170,9 @@
         let mut zones = BTreeMap::new();
         if job.spec.one_zone || job.spec.spread {
             for live in job.live.values().filter(|l| l.occupies()) {
-                if let Some(r) = self.replica.machines.get(live.machine()) {
+                if let Some(r) = self.replica.machines.get(live.machine())
+                    && self.zone_takes_work(&r.value.zone)
+                {
                     *zones.entry(r.value.zone.clone()).or_default() += 1;
                 }
             }
--- /dev/null
+++ b/src/coordination/evacuation.rs
@@ -0,0 +1,181 @@
+//! Services in a lost zone: room is kept for their replicas before they are proven gone, and their machines are deleted,
+//! which is proof sooner than the end of their leases, as soon as that room is there.
+//!
+//! Nothing starts elsewhere before the old attempt is proven gone. Machines of a zone that is merely cut off work on, so
+//! none is deleted for batch work, nor before the controllers agree that the zone is lost.
+
+use super::Core;
+use super::capacity::count_in;
+use super::placement::Spot;
+use crate::bookkeeping::schema::{Hold, Role};
+use crate::protocol::user::Kind;
+use crate::units::{JobId, MachineId, Micros, Room};
+use burlhatch_zones::Condition;
+use std::collections::BTreeMap;
+
+/// Machines of one share that are on their way to deletion at a time, at least. More follow from the rate of changes:
+/// the starts that the deletions make room for need changes as well.
+const EVACUATIONS_LEAST: usize = 2;
+
+/// Places that are kept for replicas: how many for each job.
+type Places = BTreeMap<JobId, u32>;
+
+impl Core {
+    /// Replicas of services on machines of lost zones, of all shares: the leader plans for them all.
+    pub(super) fn find_displaced(&mut self) {
+        let mut displaced: BTreeMap<JobId, u32> = BTreeMap::new();
+        for zone in self.zone_control.zones.in_condition(Condition::Lost) {
+            for machine in self.zone_control.zones.machines(zone) {
+                for job in self.services_on(machine) {
+                    *displaced.entry(job).or_default() += 1;
+                }
+            }
+        }
+        for job in self.zone_control.moving.keys() {
+            *displaced.entry(job.clone()).or_default() += 1;
+        }
+        self.zone_control.displaced = displaced;
+    }
+
+    /// The services with tasks on a machine that occupy room and are to go on, each as often as it has tasks there.
+    fn services_on(&self, machine: &MachineId) -> Vec<JobId> {
+        if !self.usage.serves(machine) {
+            return Vec::new();
+        }
+        let starts = self.usage.placed(machine).into_iter().flat_map(|placed| &placed.starts);
+        let goes_on = |id: &JobId, task: u32| {
+            let job = self.jobs.get(id).filter(|job| job.spec.kind == Kind::Service && job.over.is_none());
+            job.and_then(|job| job.live.get(task)).is_some_and(|live| live.occupies() && live.stop.is_none())
+        };
+        starts.filter(|(id, task)| goes_on(id, *task)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// How many replicas of a job are displaced.
+    pub(super) fn displaced_of(&self, id: &JobId) -> u32 {
+        self.zone_control.displaced.get(id).copied().unwrap_or(0)
+    }
+
+    /// Room that a team's displaced replicas still take by the stored records.
+    pub(super) fn displaced_room(&self, team: &str) -> Room {
+        let of_team = self.zone_control.displaced.iter().filter_map(|(id, count)| {
+            let job = self.jobs.get(id).filter(|job| job.spec.team.as_deref() == Some(team))?;
+            Some(job.room.times(u64::from(*count)))
+        });
+        of_team.fold(Room::default(), |sum, room| sum.plus(&room))
+    }
+
+    /// Keeps room for displaced replicas of a share on machines that take work, holders of their images first. Says for
+    /// how many of each job there is room.
+    pub(super) fn reserve_displaced(&self, share: u32, spots: &mut [Spot]) -> Places {
+        let mut places = Places::new();
+        for (id, count) in &self.zone_control.displaced {
+            let Some(job) = self.jobs.get(id).filter(|job| job.share == share) else { continue };
+            let allowance = self.allowance_beyond_lost_zones(job);
+            let mut left = u64::from(*count);
+            for holders in [true, false] {
+                for spot in spots.iter_mut() {
+                    if left == 0 {
+                        break;
+                    }
+                    let holds = self.machines.get(&spot.id).is_some_and(|m| m.holds(&job.spec.image));
+                    if holds != holders || !allowance.allows(spot) {
+                        continue;
+                    }
+                    let taken = count_in(&job.room, &spot.unreserved()).min(left);
+                    spot.reserve(&job.room.times(taken));
+                    left -= taken;
+                }
+            }
+            let placed = count - left as u32;
+            if placed > 0 {
+                places.insert(id.clone(), placed);
+            }
+        }
+        places
+    }
+
+    /// Has machines of lost zones deleted that run services, as far as there is room for these elsewhere.
+    pub(super) fn evacuate(&mut self) {
+        if !self.policy.zones.evacuate || self.zone_control.displaced.is_empty() {
+            return;
+        }
+        let shares: Vec<u32> = self.held_shares().collect();
+        for share in shares {
+            self.evacuate_share(share);
+        }
+    }
+
+    fn evacuate_share(&mut self, share: u32) {
+        let candidates = self.machines_to_evacuate(share);
+        if candidates.is_empty() {
+            return;
+        }
+        let mut spots = self.spots_of(share);
+        spots.iter_mut().for_each(Spot::clear_reserved);
+        let mut places = self.reserve_displaced(share, &mut spots);
+        let mut on_their_way = self.evacuations_on_their_way(share);
+        for id in &on_their_way {
+            take_places(&mut places, &self.services_on(id));
+        }
+        let limits = &self.platform.deployment;
+        let most = EVACUATIONS_LEAST.max((limits.state.write_rps / f64::from(limits.nodes)) as usize);
+        for id in candidates {
+            if on_their_way.len() >= most {
+                break;
+            }
+            let services = self.services_on(&id);
+            if take_places(&mut places, &services) {
+                tracing::info!(machine = %id, replicas = services.len(), "evacuated: its zone is lost");
+                self.set_hold(&id, Hold::Doomed);
+                on_their_way.push(id);
+            }
+        }
+    }
+
+    /// Silent machines of a share in zones that have been lost for long enough, with services, not yet to be deleted.
+    fn machines_to_evacuate(&self, share: u32) -> Vec<MachineId> {
+        if self.held(Role::Share(share)).is_none() {
+            return Vec::new();
+        }
+        let now = self.now();
+        let patience = Micros::from_millis(self.policy.zones.evacuate_after_ms);
+        let zones = &self.zone_control.zones;
+        let lost_long = |zone: &&str| zones.state(zone).is_some_and(|state| now.since(state.since()) >= patience);
+        let machines = zones.in_condition(Condition::Lost).filter(lost_long).flat_map(|zone| zones.machines(zone));
+        let is_due = |id: &&MachineId| {
+            let in_share = self.replica.machines.get(*id).is_some_and(|record| {
+                record.value.share == share && !matches!(record.value.hold, Some(Hold::Doomed | Hold::Gone))
+            });
+            let idle = self.machines.get(*id).is_some_and(|machine| !machine.writing);
+            in_share && idle && zones.is_silent(id) && self.usage.serves(id)
+        };
+        machines.filter(is_due).cloned().collect()
+    }
+
+    fn evacuations_on_their_way(&self, share: u32) -> Vec<MachineId> {
+        let zones = &self.zone_control.zones;
+        let machines = zones.in_condition(Condition::Lost).flat_map(|zone| zones.machines(zone));
+        let is_on_its_way = |id: &&MachineId| {
+            let doomed = self
+                .replica
+                .machines
+                .get(*id)
+                .is_some_and(|record| record.value.share == share && record.value.hold == Some(Hold::Doomed));
+            doomed || self.machines.get(*id).is_some_and(|machine| machine.share == Some(share) && machine.writing)
+        };
+        machines.filter(is_on_its_way).cloned().collect()
+    }
+}
+
+/// Takes a place for each of these services; none at all if one has none left.
+fn take_places(places: &mut Places, services: &[JobId]) -> bool {
+    let mut left = places.clone();
+    for job in services {
+        match left.get_mut(job) {
+            Some(count) if *count > 0 => *count -= 1,
+            _ => return false,
+        }
+    }
+    *places = left;
+    true
+}
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -4,6 +4,7 @@
 use super::failures::{Failure, FailureHistory};
 use super::pipelines::Urgency;
 use super::usage::{JobStarts, Phase, Start, Usage};
+use super::zones::ZoneStart;
 use crate::bookkeeping::schema::{JobRecord, Outcome, RunChunk};
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::protocol::worker::ExitCause;
@@ -354,6 +355,7 @@
         if why != ExitCause::Done {
             tracing::debug!(job = %id, task, %machine, phase = ?live.phase(), ?why, "ended early");
         }
+        let came_to_work = why == ExitCause::Done && live.running_since.is_none();
         job.live.set_phase(task, Phase::Ended(why), &mut self.usage);
         let not_before = match why {
             ExitCause::Done => {
@@ -376,6 +378,9 @@
                 live.stop.get_or_insert(0.0);
             }
         }
+        if came_to_work {
+            self.note_zone_start(&machine, ZoneStart::AtWork);
+        }
         self.machine_freed(&machine);
         self.pass_wanted = true;
     }
@@ -389,9 +394,11 @@
             return;
         }
         let machine = live.machine().clone();
+        let start = live.clone();
         tracing::debug!(job = %id, task, %machine, phase = ?live.phase(), seq = live.seq, "proven gone");
         job.live.set_phase(task, Phase::Gone, &mut self.usage);
         job.dirty(now);
+        self.note_zone_loss(&start);
         self.machine_freed(&machine);
         self.pass_wanted = true;
     }
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -241,6 +241,7 @@
 
     pub(super) fn machine_changed(&mut self, id: &MachineId) {
         let now = self.now();
+        self.zone_of_machine_changed(id);
         match self.replica.machines.get(id) {
             None => {
                 // Deleted: whatever was on it is gone.
@@ -350,6 +351,7 @@
         self.clear_cancelled();
         self.probe(&ours);
         self.judge_unreachable(&ours);
+        self.tick_zones(&ours);
         self.replace_silent(&ours);
         self.replace_unreachable(&ours);
         self.replace_unreported(&ours);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 mod cancellations;
 mod capacity;
 mod draining;
+mod evacuation;
 mod evidence;
 mod failure_detector;
 mod failures;
@@ -23,6 +24,7 @@
 pub mod placement;
 mod preemption;
 mod reads;
+mod rebalancing;
 mod reclaim;
 mod records;
 mod registration;
@@ -36,6 +38,7 @@
 pub mod usage;
 mod users;
 pub mod versions;
+mod zones;
 
 pub use messages::{
     Clock, CloudCall, CloudOutcome, Command, Effect, Failure, LeaseOutcome, OrdersOutcome, ReadKind, ReadOutcome,
@@ -129,6 +132,7 @@
     /// Something urgent has come since the last pass began.
     urgent_pass: bool,
     leader: leader::Leader,
+    zone_control: zones::ZoneControl,
     /// By when machines of shares held here should move to others, if any are to.
     moves_due: Option<Micros>,
     /// The oldest version of the rules for stored records among the controllers alive.
@@ -197,6 +201,7 @@
             pass_began: Micros::ZERO,
             urgent_pass: false,
             leader: leader::Leader::default(),
+            zone_control: zones::ZoneControl::default(),
             moves_due: None,
             oldest_version: None,
             next_call: 1,
@@ -339,7 +344,10 @@
     fn changed(&mut self, changes: Vec<Change>) {
         for change in changes {
             match change {
-                Change::Role(role) => self.role_changed(role),
+                Change::Role(role) => {
+                    self.role_changed(role);
+                    self.zone_views_of_role_changed(role);
+                }
                 Change::Machines(ids) => ids.iter().for_each(|id| self.machine_changed(id)),
                 Change::Jobs(ids) => ids.iter().for_each(|id| self.job_changed(id)),
                 Change::Run(id, chunk) => self.run_changed(&id, chunk),
@@ -348,6 +356,8 @@
                     self.job_over(&id);
                 }
                 Change::Node(_) => self.versions_changed(),
+                Change::Zone(zone, share) => self.zone_view_changed(&zone, share),
+                Change::ZoneHold(zone) => self.zone_hold_changed(&zone),
                 Change::Nothing => {}
             }
         }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -3,11 +3,14 @@
 
 use super::Core;
 use super::jobs::Job;
+use super::machines::Machine;
 use super::usage::{Phase, Start};
+use super::zones::ZoneStart;
 use crate::bookkeeping::schema::Role;
 use crate::protocol::user::{JobSpec, Kind, Priority};
 use crate::units::{JobId, MachineId, Micros, Room};
-use std::collections::{BTreeMap, HashMap};
+use burlhatch_zones::fetches::FetchQueues;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A machine that could take the task, seen through the prediction.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,20 +54,68 @@
     reserved: Room,
     session: u64,
     pub failed_here: Vec<JobId>,
+    /// Its zone came back a short while ago and gets work step by step.
+    is_returning: bool,
+    /// Images that wait to be fetched there; counted only while fetches are limited.
+    fetches: u32,
 }
 
-/// One pass over the jobs keeps these from round to round.
+/// The machines of one share that take work, as one pass over the jobs sees them.
+struct ShareView {
+    spots: Vec<Spot>,
+    /// Fetches in each zone, while they are limited.
+    fetch_queues: Option<FetchQueues>,
+    /// Zones that have failed too often lately.
+    distrusted: BTreeSet<String>,
+}
+
+impl ShareView {
+    /// What placing a task changes, so that a gang that does not fit leaves nothing behind.
+    fn save(&self) -> SavedView {
+        let spots = self.spots.iter().map(|spot| (spot.free, spot.fetches)).collect();
+        SavedView { spots, fetch_queues: self.fetch_queues.clone() }
+    }
+
+    fn restore(&mut self, saved: SavedView) {
+        for (spot, (free, fetches)) in self.spots.iter_mut().zip(saved.spots) {
+            (spot.free, spot.fetches) = (free, fetches);
+        }
+        self.fetch_queues = saved.fetch_queues;
+    }
+}
+
+struct SavedView {
+    spots: Vec<(Room, u32)>,
+    fetch_queues: Option<FetchQueues>,
+}
+
+/// One pass over the jobs keeps these from job to job.
 #[derive(Default)]
 struct Field {
-    spots: HashMap<u32, Vec<Spot>>,
+    shares: HashMap<u32, ShareView>,
 }
 
 impl Spot {
+    /// Room that nothing is kept free of.
+    pub fn unreserved(&self) -> Room {
+        self.free.minus(&self.reserved)
+    }
+
+    /// Keeps room free of batch work.
+    pub fn reserve(&mut self, room: &Room) {
+        self.reserved = self.reserved.plus(room);
+    }
+
+    /// Forgets all that was to be kept free.
+    pub fn clear_reserved(&mut self) {
+        self.reserved = Room::default();
+    }
+
     fn takes(&self, job: &Job) -> bool {
         if job.spec.priority > Priority::Normal {
             return job.room.fits_in(&self.free);
         }
-        job.room.fits_in(&self.free.minus(&self.reserved))
+        job.room.fits_in(&self.unreserved())
     }
 }
 
@@ -76,6 +127,7 @@
 }
 
 impl Allowance<'_> {
+    /// Whether it may go to a machine.
     pub fn allows(&self, s: &Spot) -> bool {
         let spec = self.spec;
         spec.types.as_ref().is_none_or(|t| t.contains(&s.machine_type))
@@ -92,11 +144,19 @@
 struct Search<'a> {
     /// The only zone.
     zone: Option<&'a str>,
+    /// Zones that had better not be used.
+    avoided_zones: &'a BTreeSet<String>,
     /// Not where tasks of it have failed since it last succeeded. A gang that never gets past one faulty machine fails
     /// on no other, so nothing else would tell the two apart.
     avoid_failed: bool,
 }
 
+/// An image that a machine has still to fetch.
+struct PendingFetch<'a> {
+    image: &'a str,
+    megabytes: f64,
+}
+
 /// Machines that could take the next task of a job, kept from task to task: placing one changes the
 /// prediction for its own machine only.
 struct Choices {
@@ -104,6 +164,21 @@
     candidates: Vec<Candidate>,
 }
 
+impl Choices {
+    fn remove(&mut self, chosen: usize) {
+        self.at.swap_remove(chosen);
+        self.candidates.swap_remove(chosen);
+    }
+
+    fn retain(&mut self, keep: impl Fn(usize) -> bool) {
+        for i in (0..self.at.len()).rev() {
+            if !keep(self.at[i]) {
+                self.remove(i);
+            }
+        }
+    }
+}
+
 impl Core {
     /// Looks at waiting jobs in order until the time is up; the next round goes on from there.
     pub(super) fn place(&mut self, time_left: &mut dyn FnMut() -> bool) {
@@ -177,7 +252,8 @@
             })
             .collect();
         waiting.sort();
-        waiting.into_iter().map(|(_, id)| id).collect()
+        let waiting: Vec<JobId> = waiting.into_iter().map(|(_, id)| id).collect();
+        if self.is_restoring() { self.in_restoration_order(&waiting) } else { waiting }
     }
 
     pub(super) fn within_guarantee(&self, job: &Job) -> bool {
@@ -217,7 +293,8 @@
         }
     }
 
-    fn spots_of(&self, share: u32) -> Vec<Spot> {
+    /// Machines of a share that take work now.
+    pub(super) fn spots_of(&self, share: u32) -> Vec<Spot> {
         let now = self.now();
         let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 1.7);
         let pause = Micros::from_millis(self.policy.retry_max_ms);
@@ -227,7 +304,7 @@
             .machines
             .iter()
             .filter(|(_, r)| r.value.share == share && r.value.hold.is_none())
-            .filter(|(id, _)| !self.is_cleared(id))
+            .filter(|(id, r)| !self.is_cleared(id) && self.zone_takes_work(&r.value.zone))
             .filter_map(|(id, record)| {
                 let machine = self.machines.get(id)?;
                 let heard = now.since(machine.heard) <= recent && !machine.is_unreported(now, unreported);
@@ -243,6 +320,8 @@
                     reserved: Room::default(),
                     session: machine.session,
                     failed_here: machine.failed_jobs(now, pause).cloned().collect(),
+                    is_returning: self.zone_is_returning(&record.value.zone),
+                    fetches: 0,
                 })
             })
             .collect();
@@ -250,6 +329,27 @@
         spots
     }
 
+    fn view_of(&mut self, share: u32) -> ShareView {
+        let mut spots = self.spots_of(share);
+        if !self.judges_zones() {
+            return ShareView { spots, fetch_queues: None, distrusted: BTreeSet::new() };
+        }
+        self.reserve_displaced(share, &mut spots);
+        let fetch_queues = self.is_restoring().then(|| self.count_fetches(&mut spots));
+        let distrusted = self.distrusted_zones(&spots);
+        ShareView { spots, fetch_queues, distrusted }
+    }
+
+    fn count_fetches(&self, spots: &mut [Spot]) -> FetchQueues {
+        let mut queues = FetchQueues::default();
+        for spot in spots {
+            spot.fetches =
+                self.machines.get(&spot.id).map_or(0, |m| self.pending_fetches(&spot.id, m, 0.0).len() as u32);
+            queues.add(&spot.zone, spot.fetches);
+        }
+        queues
+    }
+
     fn place_job(&mut self, id: &JobId, field: &mut Field) {
         let Some(job) = self.jobs.get(id) else { return };
         let share = job.share;
@@ -257,24 +357,30 @@
             return;
         }
         let gang = job.spec.kind == Kind::Gang;
-        let mut spots = field.spots.remove(&share).unwrap_or_else(|| self.spots_of(share));
+        let mut view = field.shares.remove(&share).unwrap_or_else(|| self.view_of(share));
         if gang {
-            self.place_gang(id, &mut spots);
+            self.place_gang(id, &mut view);
         } else {
-            self.place_tasks(id, &mut spots);
+            self.place_tasks(id, &mut view);
         }
-        field.spots.insert(share, spots);
+        field.shares.insert(share, view);
     }
 
-    fn place_tasks(&mut self, id: &JobId, spots: &mut [Spot]) {
+    fn place_tasks(&mut self, id: &JobId, view: &mut ShareView) {
         let now = self.now();
         let Some(job) = self.jobs.get(id) else { return };
-        let begins = job.spec.kind == Kind::Array && self.is_overdue(job);
-        let mut search = Search { zone: None, avoid_failed: true };
-        let mut choices = self.choices(id, job, spots, search);
+        let begins = job.spec.kind == Kind::Array && (self.is_overdue(job) || self.is_starved_in_restoration(id));
+        let none = BTreeSet::new();
+        let avoided_zones = self.zones_to_avoid(id, job, &view.distrusted);
+        let mut search = Search { zone: None, avoided_zones: &avoided_zones, avoid_failed: true };
+        let mut choices = self.choices(id, job, view, search);
+        if choices.at.is_empty() && !avoided_zones.is_empty() && self.gives_up_avoiding(id) {
+            search.avoided_zones = &none;
+        }
         if choices.at.is_empty() {
+            let Some(job) = self.jobs.get(id) else { return };
             search.avoid_failed = false;
-            choices = self.choices(id, job, spots, search);
+            choices = self.choices(id, job, view, search);
         }
         // Locked jobs are left alone while a transaction is on its way, so one takes all it can.
         loop {
@@ -293,21 +399,20 @@
                 return;
             }
             let Some(chosen) = self.chosen(job, &choices) else {
-                self.make_room(id, spots);
+                self.make_room(id, &view.spots);
                 return;
             };
-            let at = choices.at[chosen];
-            self.decide_start(id, task, &mut spots[at]);
+            self.decide_start(id, task, view, choices.at[chosen]);
             if begins {
                 // It has begun; the rest comes in its turn.
                 return;
             }
-            self.choose_again(id, spots, &mut choices, chosen, search);
+            self.choose_again(id, view, &mut choices, chosen, search);
         }
     }
 
     /// Step 6: all tasks in one pass or none.
-    fn place_gang(&mut self, id: &JobId, spots: &mut [Spot]) {
+    fn place_gang(&mut self, id: &JobId, view: &mut ShareView) {
         let Some(job) = self.jobs.get(id) else { return };
         let named = |chunk| self.chunk_has_room(id, job, chunk);
         if !job.live.is_empty() || job.waiting() < job.spec.tasks || !named(0) || !job.may_start(self.now()) {
@@ -316,26 +421,28 @@
         let tasks = job.spec.tasks;
         let mut zones: Vec<Option<String>> = vec![None];
         if job.spec.one_zone {
-            let mut names: Vec<String> = spots.iter().map(|s| s.zone.clone()).collect();
+            let mut names: Vec<String> = view.spots.iter().map(|s| s.zone.clone()).collect();
             names.sort();
             names.dedup();
             zones = names.into_iter().map(Some).collect();
         }
-        let searches = |avoid_failed| zones.iter().map(move |zone| Search { zone: zone.as_deref(), avoid_failed });
+        let none = BTreeSet::new();
+        let avoided_zones = &none;
+        let searches =
+            |avoid_failed| zones.iter().map(move |zone| Search { zone: zone.as_deref(), avoided_zones, avoid_failed });
         for search in searches(true).chain(searches(false)) {
-            let before: Vec<Room> = spots.iter().map(|s| s.free).collect();
+            let before = view.save();
             let mut placed = Vec::new();
             let Some(job) = self.jobs.get(id) else { return };
-            let mut choices = self.choices(id, job, spots, search);
+            let mut choices = self.choices(id, job, view, search);
             for task in 0..tasks {
                 let Some(job) = self.jobs.get(id) else { return };
                 if !self.within_limit(job) {
                     break;
                 }
                 let Some(chosen) = self.chosen(job, &choices) else { break };
-                let at = choices.at[chosen];
-                self.decide_start(id, task, &mut spots[at]);
-                self.choose_again(id, spots, &mut choices, chosen, search);
+                self.decide_start(id, task, view, choices.at[chosen]);
+                self.choose_again(id, view, &mut choices, chosen, search);
                 placed.push(task);
             }
             if placed.len() == tasks as usize {
@@ -344,11 +451,9 @@
             for task in placed {
                 self.withdraw_start(id, task);
             }
-            for (spot, free) in spots.iter_mut().zip(before) {
-                spot.free = free;
-            }
+            view.restore(before);
         }
-        self.make_room(id, spots);
+        self.make_room(id, &view.spots);
     }
 
     /// Every start not proven gone counts, inherited ones too.
@@ -376,12 +481,23 @@
         Allowance { spec, zone, per_zone }
     }
 
-    fn choices(&self, id: &JobId, job: &Job, spots: &[Spot], search: Search) -> Choices {
+    /// The same for a task whose job's others may be in lost zones, from which they are to go.
+    pub(super) fn allowance_beyond_lost_zones<'a>(&self, job: &'a Job) -> Allowance<'a> {
+        let mut allowance = self.allowance(job, None);
+        allowance.per_zone.retain(|zone, _| self.zone_takes_work(zone));
+        allowance
+    }
+
+    fn choices(&self, id: &JobId, job: &Job, view: &ShareView, search: Search) -> Choices {
         let allowance = self.allowance(job, search.zone);
         let mut choices = Choices { at: Vec::new(), candidates: Vec::new() };
-        for (i, spot) in spots.iter().enumerate() {
+        for (i, spot) in view.spots.iter().enumerate() {
             let avoided = search.avoid_failed && job.failures.failed_on(&spot.id);
+            let avoided = avoided || search.avoided_zones.contains(&spot.zone);
             if spot.takes(job) && allowance.allows(spot) && !spot.failed_here.contains(id) && !avoided {
+                if !self.is_admitted(job, spot, view) {
+                    continue;
+                }
                 choices.at.push(i);
                 choices.candidates.push(self.candidate(job, spot));
             }
@@ -389,23 +505,52 @@
         choices
     }
 
+    /// Whether a zone that returns takes one more start, and a machine one more fetch while these are limited.
+    fn is_admitted(&self, job: &Job, spot: &Spot, view: &ShareView) -> bool {
+        if spot.is_returning && !self.zone_admits_start(&spot.zone) {
+            return false;
+        }
+        let Some(queues) = &view.fetch_queues else { return true };
+        !self.adds_fetch(job, spot) || queues.admits(&spot.zone, spot.fetches, &self.policy.zones)
+    }
+
+    /// Whether a task started there would have one more image fetched.
+    fn adds_fetch(&self, job: &Job, spot: &Spot) -> bool {
+        let image = job.spec.image.as_str();
+        let Some(machine) = self.machines.get(&spot.id) else { return true };
+        let is_pending = || self.pending_fetches(&spot.id, machine, 0.0).iter().any(|fetch| fetch.image == image);
+        !machine.holds(image) && !is_pending()
+    }
+
     /// After a task was placed: its machine has less room, and the job's own conditions may have
     /// closed a zone.
-    fn choose_again(&self, id: &JobId, spots: &[Spot], choices: &mut Choices, chosen: usize, search: Search) {
+    fn choose_again(&self, id: &JobId, view: &ShareView, choices: &mut Choices, chosen: usize, search: Search) {
         let Some(job) = self.jobs.get(id) else { return };
+        let spot = &view.spots[choices.at[chosen]];
         if job.spec.one_zone || job.spec.spread {
-            *choices = self.choices(id, job, spots, search);
+            *choices = self.choices(id, job, view, search);
             return;
         }
-        let spot = &spots[choices.at[chosen]];
-        if spot.takes(job) {
+        if spot.takes(job) && self.is_admitted(job, spot, view) {
             choices.candidates[chosen] = self.candidate(job, spot);
         } else {
-            choices.at.swap_remove(chosen);
-            choices.candidates.swap_remove(chosen);
+            choices.remove(chosen);
+        }
+        if self.is_zone_exhausted(spot, view) {
+            choices.retain(|at| {
+                let other = &view.spots[at];
+                other.zone != spot.zone || self.is_admitted(job, other, view)
+            });
         }
     }
 
+    /// Whether a whole zone takes no more starts, or no more fetches, in this pass.
+    fn is_zone_exhausted(&self, spot: &Spot, view: &ShareView) -> bool {
+        let no_starts = spot.is_returning && !self.zone_admits_start(&spot.zone);
+        let no_fetches = || view.fetch_queues.as_ref().is_some_and(|q| !q.zone_admits(&spot.zone, &self.policy.zones));
+        no_starts || no_fetches()
+    }
+
     fn chosen(&self, job: &Job, choices: &Choices) -> Option<usize> {
         let now = self.clock.wall;
         let slack = match job.urgency.due {
@@ -417,7 +562,6 @@
 
     /// Steps 1 and 2: the fetches pending on the machine, run one after another, then its own.
     fn candidate(&self, job: &Job, spot: &Spot) -> Candidate {
-        let now = self.now();
         let image = job.spec.image.as_str();
         // Among equals the tightest fit, so that machines fall free as a whole.
         let tie = (spot.free.cpus, spot.free.memory);
@@ -428,34 +572,48 @@
             return Candidate { ready: Micros::ZERO, holds: true, tie };
         }
         let rate = machine.rate.unwrap_or(self.policy.start_fetch_mb_per_s).max(0.001);
+        let mut pending = self.pending_fetches(&spot.id, machine, rate);
+        if !pending.iter().any(|fetch| fetch.image == image) {
+            pending.push(PendingFetch { image, megabytes: job.spec.image_gb * 1000.0 });
+        }
         let mut ready = Micros::ZERO;
-        let mut pending: Vec<(&str, f64)> = Vec::new();
+        for fetch in pending {
+            ready = ready + Micros::from_secs_f64(fetch.megabytes / rate);
+            if fetch.image == image {
+                break;
+            }
+        }
+        Candidate { ready, holds: false, tie }
+    }
+
+    /// Images that a machine has still to fetch, in order, with what is left of each at that rate in MB a second.
+    fn pending_fetches<'a>(&'a self, id: &MachineId, machine: &'a Machine, rate: f64) -> Vec<PendingFetch<'a>> {
+        let now = self.now();
+        let mut pending: Vec<PendingFetch> = Vec::new();
         for fetch in &machine.fetches {
             let left = fetch.megabytes - now.since(fetch.since).secs() * rate;
-            pending.push((&fetch.image, left.max(0.0)));
+            pending.push(PendingFetch { image: &fetch.image, megabytes: left.max(0.0) });
         }
         // Starts decided or told, whose fetch has not shown up in a report yet.
-        for (id, task) in self.usage.placed(&spot.id).into_iter().flat_map(|p| &p.starts) {
+        for (id, task) in self.usage.placed(id).into_iter().flat_map(|p| &p.starts) {
             let Some(other) = self.jobs.get(id) else { continue };
             let waits = other.live.get(*task).is_some_and(|l| matches!(l.phase(), Phase::Decided | Phase::Recorded));
-            let other_image = other.spec.image.as_str();
-            if waits && !machine.holds(other_image) && !pending.iter().any(|(i, _)| *i == other_image) {
-                pending.push((other_image, other.spec.image_gb * 1000.0));
+            let image = other.spec.image.as_str();
+            if waits && !machine.holds(image) && !pending.iter().any(|fetch| fetch.image == image) {
+                pending.push(PendingFetch { image, megabytes: other.spec.image_gb * 1000.0 });
             }
         }
-        if !pending.iter().any(|(i, _)| *i == image) {
-            pending.push((image, job.spec.image_gb * 1000.0));
-        }
-        for (pending_image, megabytes) in pending {
-            ready = ready + Micros::from_secs_f64(megabytes / rate);
-            if pending_image == image {
-                break;
-            }
-        }
-        Candidate { ready, holds: false, tie }
+        pending
     }
 
-    fn decide_start(&mut self, id: &JobId, task: u32, spot: &mut Spot) {
+    fn decide_start(&mut self, id: &JobId, task: u32, view: &mut ShareView, at: usize) {
+        let spot = &mut view.spots[at];
+        if let Some(queues) = &mut view.fetch_queues
+            && self.jobs.get(id).is_some_and(|job| self.adds_fetch(job, spot))
+        {
+            spot.fetches += 1;
+            queues.add(&spot.zone, 1);
+        }
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.take_task(task);
         job.not_before.remove(&task);
@@ -465,6 +623,8 @@
         if let Some(machine) = self.machines.get_mut(&spot.id) {
             machine.free_since = None;
         }
+        self.zone_control.avoiding_since.remove(id);
+        self.note_zone_start(&view.spots[at].id, ZoneStart::Decided);
     }
 
     fn withdraw_start(&mut self, id: &JobId, task: u32) {
@@ -472,6 +632,7 @@
         if let Some(live) = job.live.remove(task, &mut self.usage) {
             job.redo.insert(task);
             self.machine_freed(live.machine());
+            self.note_zone_start(live.machine(), ZoneStart::Withdrawn);
         }
     }
 }
--- a/src/coordination/reads.rs
+++ b/src/coordination/reads.rs
@@ -147,6 +147,7 @@
         for id in jobs {
             self.job_changed(&id);
         }
+        self.zones_read();
         self.watch();
         self.tick_roles();
     }
--- a/src/coordination/rentals.rs
+++ b/src/coordination/rentals.rs
@@ -8,13 +8,22 @@
 use crate::protocol::cloud::Rental;
 use crate::protocol::user::JobSpec;
 use crate::units::{Micros, Room};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Machines that one request may ask for.
 const RENTAL_MOST: u32 = 50;
 /// Boot time of a type that the cloud does not list any more, in seconds.
 const USUAL_BOOT_S: f64 = 60.0;
 
+/// What is known of the offers when one is chosen.
+struct Market<'a> {
+    /// Machines that there are and are to be, by zone.
+    by_zone: &'a BTreeMap<String, u64>,
+    /// Zones in which nothing may be rented now.
+    closed: &'a BTreeSet<String>,
+    reliability: &'a Reliability,
+}
+
 impl Core {
     /// When a machine that boots should be up.
     fn boot_span(&self, boot: &Boot) -> Micros {
@@ -46,7 +55,9 @@
     /// Whether any kind of machine that takes such a task is not known to be sold out.
     pub(super) fn can_rent_for(&self, unmet: &Unmet) -> bool {
         let reliability = self.leader.boot_history.reliability(std::iter::empty(), self.now());
-        self.cheapest(&unmet.spec, &unmet.zones, &BTreeMap::new(), &reliability).is_some()
+        let closed = self.zones_closed_to_rentals(&BTreeMap::new());
+        let market = Market { by_zone: &BTreeMap::new(), closed: &closed, reliability: &reliability };
+        self.cheapest(&unmet.spec, &unmet.zones, &market).is_some()
     }
 
     pub(super) fn rent_for(&mut self, unmet: &[Unmet]) {
@@ -79,11 +90,14 @@
         }
         let reliability = self.leader.boot_history.reliability(self.overdue_boots(), self.now());
         let mut fresh: Vec<Slot> = Vec::new();
+        let mut ordered: BTreeMap<String, u32> = BTreeMap::new();
+        let mut closed = self.zones_closed_to_rentals(&ordered);
         for u in unmet {
             let mut zones = u.zones.clone();
             let mut count = u.count - fit(&u.spec, u.count, &mut fresh, &mut zones);
             while count > 0 && room_left > 0 {
-                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &by_zone, &reliability) else { break };
+                let market = Market { by_zone: &by_zone, closed: &closed, reliability: &reliability };
+                let Some((offer, room)) = self.cheapest(&u.spec, &zones, &market) else { break };
                 let mut slot = Slot {
                     id: None,
                     machine_type: offer.0.clone(),
@@ -99,6 +113,10 @@
                 count -= taken;
                 fresh.push(slot);
                 *by_zone.entry(offer.1.clone()).or_default() += 1;
+                if self.zone_is_returning(&offer.1) {
+                    *ordered.entry(offer.1.clone()).or_default() += 1;
+                    closed = self.zones_closed_to_rentals(&ordered);
+                }
                 *orders.entry(offer).or_default() += 1;
                 room_left -= 1;
             }
@@ -118,20 +136,14 @@
         }
     }
 
-    /// The offer with the lowest price for each task it can hold. `by_zone`: machines there are and
-    /// are to be. One that fails costs its boot
-    /// and the time of those who wait for it.
-    fn cheapest(
-        &self,
-        spec: &JobSpec,
-        zones: &BTreeMap<String, u64>,
-        by_zone: &BTreeMap<String, u64>,
-        reliability: &Reliability,
-    ) -> Option<(Offer, Room)> {
+    /// The offer with the lowest price for each task it can hold. One that fails costs its boot and the time of those
+    /// who wait for it.
+    fn cheapest(&self, spec: &JobSpec, zones: &BTreeMap<String, u64>, market: &Market) -> Option<(Offer, Room)> {
         let need = spec.room();
         let most = u64::from(spec.tasks.div_ceil(2));
         let zone_allowed = |zone: &String| {
-            spec.zone.as_ref().is_none_or(|want| want == zone)
+            !market.closed.contains(zone)
+                && spec.zone.as_ref().is_none_or(|want| want == zone)
                 && (!spec.one_zone || zones.keys().all(|z| z == zone))
                 && (!spec.spread || zones.get(zone).copied().unwrap_or(0) < most)
         };
@@ -148,10 +160,10 @@
                         continue;
                     }
                     let price = if spot { info.wire.spot_price.unwrap_or(info.wire.price) } else { info.wire.price };
-                    let comes_up = reliability.of(&offer);
+                    let comes_up = market.reliability.of(&offer);
                     let cost = (price / tasks as f64 / (comes_up * comes_up) * 1e6) as u64;
                     // Among equals the zone with the fewest machines.
-                    let here = by_zone.get(zone).copied().unwrap_or(0);
+                    let here = market.by_zone.get(zone).copied().unwrap_or(0);
                     if best.as_ref().is_none_or(|(b, ..)| (cost, here) < *b) {
                         best = Some(((cost, here), offer, info.room));
                     }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -3,6 +3,7 @@
 use super::machines::{Failures, Fetch, LastReport, UnrecordedTask};
 use super::orders::ORDERS_MAX;
 use super::usage::{Phase, Start};
+use super::zones::ZoneStart;
 use super::{Core, Effect, Unregistered, Waiter, WorkerAnswer};
 use crate::bookkeeping::schema::Role;
 use crate::protocol::user::Kind;
@@ -253,7 +254,12 @@
             }
             return;
         }
-        if phase == Phase::Running {
+        if phase == Phase::Running || phase == Phase::Waiting {
+            self.note_zone_start(id, ZoneStart::AtWork);
+        }
+        if phase == Phase::Running
+            && let Some(job) = self.jobs.get(&task.job)
+        {
             let age_ms = self.clock.wall.since(job.accepted).millis();
             tracing::debug!(task = %task, machine = %id, age_ms, kind = ?job.spec.kind, "runs");
         }
--- a/src/coordination/txns.rs
+++ b/src/coordination/txns.rs
@@ -40,6 +40,8 @@
     Role,
     Machines(MachineChange, Vec<MachineId>),
     Jobs(Vec<JobId>),
+    /// What a share's holder has to say of a zone, by zone and share.
+    ZoneView((String, u32)),
     /// Clearing away what nothing needs any more.
     Tidy,
     /// Outcomes that follow from others'.
@@ -58,6 +60,7 @@
             Purpose::Machines(MachineChange::Replace, _) => "machines replaced",
             Purpose::Machines(MachineChange::Term, _) => "machine terms",
             Purpose::Jobs(_) => "jobs",
+            Purpose::ZoneView(_) => "zones",
             Purpose::Tidy => "tidying",
             Purpose::Cascade => "followers",
         }
@@ -193,7 +196,7 @@
         let patience = match purpose {
             Purpose::Node | Purpose::Role => return self.send_txn(draft, purpose),
             Purpose::Submit(_) | Purpose::AwaitedParts(_) | Purpose::Cancel(_) => self.policy.user_patience_ms,
-            Purpose::Machines(..) => self.policy.machine_patience_ms,
+            Purpose::Machines(..) | Purpose::ZoneView(_) => self.policy.machine_patience_ms,
             Purpose::Jobs(_) => self.policy.batch_patience_ms,
             Purpose::Tidy | Purpose::Cascade => self.policy.tidy_patience_ms,
         };
@@ -363,6 +366,7 @@
             Purpose::Node | Purpose::Role => self.role_txn_over(purpose, !end.is_committed()),
             Purpose::Machines(_, ids) => self.machines_txn_over(ids),
             Purpose::Tidy | Purpose::Cascade => {}
+            Purpose::ZoneView(name) => self.zone_view_txn_over(name),
             Purpose::Jobs(ids) => {
                 for id in ids {
                     self.job_txn_over(id);
--- a/src/coordination/usage.rs
+++ b/src/coordination/usage.rs
@@ -198,6 +198,11 @@
         JobStarts { job, room: spec.room(), team, service, lowest, map: BTreeMap::new(), occupying: 0, decided: 0 }
     }
 
+    /// The job.
+    pub fn job(&self) -> &JobId {
+        &self.job
+    }
+
     /// A task's start.
     pub fn get(&self, task: u32) -> Option<&Start> {
         self.map.get(&task)
--- /dev/null
+++ b/src/coordination/zones.rs
@@ -0,0 +1,327 @@
+//! Zones as a whole: takes the package `burlhatch_zones` into the core.
+//!
+//! Each holder of a share judges zones by its own machines and stores its view under its lease on the share; from all
+//! views every controller derives the same condition (see `docs/zones.md`). What follows from it is decided where such
+//! work is decided already: [`super::placement`] asks which zones take work and in which order jobs are looked at,
+//! [`super::capacity`] and [`super::rentals`] plan around lost zones, [`super::evacuation`] proves tasks gone.
+
+use super::Core;
+use super::placement::Spot;
+use super::txns::{Draft, Purpose};
+use super::usage::Start;
+use crate::bookkeeping::schema::{Key, Role, is_zone_storable, to_value};
+use crate::protocol::user::{Kind, Priority};
+use crate::units::{JobId, MachineId, Micros};
+use burlhatch_zones::disruption::DisruptionBudget;
+use burlhatch_zones::order::{Waiting, WorkKind, restoration_order};
+use burlhatch_zones::{Condition, Moment, RecordDue, Transition, Zones};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How often zones are judged.
+const ZONES_EVERY: Micros = Micros::from_millis(250);
+
+/// Failed probes after which a machine may count as silent for its zone.
+const PROBES_FAILED: u32 = 2;
+
+/// A replica that was stopped to move to another zone.
+pub(super) struct MovingReplica {
+    /// The zone that it left.
+    pub from: String,
+    /// When it was told to stop.
+    pub since: Micros,
+}
+
+/// What the core knows about zones.
+#[derive(Default)]
+pub(super) struct ZoneControl {
+    pub zones: Zones,
+    next: Micros,
+    /// Views on their way to the state service.
+    writing: BTreeSet<(String, u32)>,
+    /// Tasks of services on machines of lost zones, and replicas that move, by job.
+    pub displaced: BTreeMap<JobId, u32>,
+    pub disruption: DisruptionBudget,
+    pub moving: BTreeMap<JobId, MovingReplica>,
+    /// Since when services had room only in zones that they had better avoid.
+    pub avoiding_since: BTreeMap<JobId, Micros>,
+    /// The job at which the last look for replicas to move ended.
+    pub last_looked: Option<JobId>,
+}
+
+impl Core {
+    pub(super) fn judges_zones(&self) -> bool {
+        self.policy.zones.enabled
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { steady: self.clock.steady, wall: self.clock.wall }
+    }
+
+    /// A machine's record has changed.
+    pub(super) fn zone_of_machine_changed(&mut self, id: &MachineId) {
+        if !self.judges_zones() {
+            return;
+        }
+        match self.replica.machines.get(id) {
+            Some(held) => self.zone_control.zones.machine(id, &held.value.zone, held.value.share),
+            None => self.zone_control.zones.machine_gone(id),
+        }
+    }
+
+    /// All views and holds, once the stored records are read.
+    pub(super) fn zones_read(&mut self) {
+        let views: Vec<(String, u32)> = self.replica.zones.keys().cloned().collect();
+        for (zone, share) in views {
+            self.zone_view_changed(&zone, share);
+        }
+        let holds: Vec<String> = self.replica.zone_holds.keys().cloned().collect();
+        for zone in holds {
+            self.zone_hold_changed(&zone);
+        }
+    }
+
+    /// A share's view of a zone was stored or removed, or the share has another holder.
+    pub(super) fn zone_view_changed(&mut self, zone: &str, share: u32) {
+        if !self.judges_zones() {
+            return;
+        }
+        let now = self.moment();
+        let stored = self.replica.zones.get(&(zone.to_string(), share));
+        if stored.is_some_and(|stored| stored.value.is_none()) {
+            tracing::warn!(zone, share, "a stored view of a zone can't be read; it is ignored and written anew");
+        }
+        let holder = self.replica.roles.get(&Role::Share(share)).map(|held| held.value.incarnation);
+        let view =
+            stored.and_then(|stored| stored.value.as_ref()).map(|record| (record, holder == Some(record.incarnation)));
+        self.zone_control.zones.set_view(zone, share, view, now, &self.policy.zones);
+    }
+
+    /// A share has another holder: which views count as votes follows from that.
+    pub(super) fn zone_views_of_role_changed(&mut self, role: Role) {
+        let Role::Share(share) = role else { return };
+        let zones: Vec<String> =
+            self.replica.zones.keys().filter(|(_, of)| *of == share).map(|(zone, _)| zone.clone()).collect();
+        for zone in zones {
+            self.zone_view_changed(&zone, share);
+        }
+    }
+
+    /// Operators hold a zone, or have released it.
+    pub(super) fn zone_hold_changed(&mut self, zone: &str) {
+        let on_hold = self.replica.zone_holds.contains_key(zone);
+        if self.judges_zones() && self.zone_control.zones.is_on_hold(zone) != on_hold {
+            tracing::info!(zone, on_hold, "zone held or released by operators");
+            self.zone_control.zones.set_on_hold(zone, on_hold);
+            self.pass_wanted = true;
+        }
+    }
+
+    /// Judges all zones and acts on what follows.
+    pub(super) fn tick_zones(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        if !self.judges_zones() || now < self.zone_control.next {
+            return;
+        }
+        self.zone_control.next = now + ZONES_EVERY;
+        let held: BTreeSet<u32> = self.held_shares().collect();
+        self.zone_control.zones.set_held_shares(&held, now);
+        self.note_silence(ours);
+        for transition in self.zone_control.zones.round(now, &self.policy.zones) {
+            self.zone_changed(&transition);
+        }
+        self.write_zone_views();
+        self.find_displaced();
+        self.evacuate();
+        self.move_replicas();
+    }
+
+    pub(super) fn held_shares(&self) -> impl Iterator<Item = u32> {
+        self.roles.held.keys().filter_map(|role| match role {
+            Role::Share(share) => Some(*share),
+            Role::Leader => None,
+        })
+    }
+
+    fn note_silence(&mut self, ours: &[MachineId]) {
+        let now = self.now();
+        let span = Micros::from_millis(self.policy.zones.silent_after_ms);
+        for id in ours {
+            let Some(machine) = self.machines.get(id) else { continue };
+            let silent = machine.probes_failed >= PROBES_FAILED && now.since(machine.heard) >= span;
+            self.zone_control.zones.set_silent(id, silent);
+        }
+    }
+
+    fn zone_changed(&mut self, transition: &Transition) {
+        let Transition { zone, from, to, evidence, penalty } = transition;
+        let (machines, against) = (evidence.machines, evidence.against);
+        if matches!((from, to), (Condition::Up, Condition::Suspected) | (Condition::Suspected, Condition::Up)) {
+            tracing::debug!(zone, ?from, ?to, machines, against, "zone suspected or cleared");
+        } else {
+            tracing::warn!(zone, ?from, ?to, machines, against, penalty, "zone has another condition");
+        }
+        self.pass_wanted = true;
+        self.urgent_pass |= *to == Condition::Lost;
+    }
+
+    /// Stores what has changed in the views of our shares, each under the condition that we still hold the share.
+    fn write_zone_views(&mut self) {
+        let unreadable = self.unreadable_views();
+        let due = self.zone_control.zones.records_due(self.incarnation, self.moment(), &self.policy.zones);
+        for RecordDue { zone, share, record } in due.into_iter().chain(unreadable) {
+            let name = (zone.clone(), share);
+            if !is_zone_storable(&zone) || !self.zone_control.writing.insert(name.clone()) {
+                continue;
+            }
+            let key = Key::Zone(zone, share);
+            let mut draft = Draft::default();
+            draft.unchanged(&self.replica, Key::Role(Role::Share(share)));
+            draft.unchanged(&self.replica, key.clone());
+            match record {
+                Some(record) => draft.put(key, to_value(&record)),
+                None => draft.delete(key),
+            }
+            self.submit_txn(draft, Purpose::ZoneView(name));
+        }
+    }
+
+    /// Views of our shares that can't be read and that nothing else takes the place of.
+    fn unreadable_views(&self) -> Vec<RecordDue> {
+        let unreadable = self.replica.zones.iter().filter(|(_, stored)| stored.value.is_none());
+        let ours = unreadable.filter(|((_, share), _)| self.held(Role::Share(*share)).is_some());
+        ours.map(|((zone, share), _)| RecordDue { zone: zone.clone(), share: *share, record: None }).collect()
+    }
+
+    /// A view has been stored, or not.
+    pub(super) fn zone_view_txn_over(&mut self, name: &(String, u32)) {
+        self.zone_control.writing.remove(name);
+    }
+
+    /// Whether a zone takes any new work.
+    pub(super) fn zone_takes_work(&self, zone: &str) -> bool {
+        if !self.judges_zones() {
+            return true;
+        }
+        let zones = &self.zone_control.zones;
+        !zones.is_on_hold(zone) && zones.condition(zone) != Condition::Lost
+    }
+
+    /// Whether a zone gets its work back step by step at present.
+    pub(super) fn zone_is_returning(&self, zone: &str) -> bool {
+        self.judges_zones() && self.zone_control.zones.condition(zone) == Condition::Returning
+    }
+
+    /// Whether a zone takes one more start in this step of its return.
+    pub(super) fn zone_admits_start(&self, zone: &str) -> bool {
+        let state = self.zone_control.zones.state(zone).filter(|_| self.zone_is_returning(zone));
+        state.is_none_or(|state| state.ramp.admits(&self.policy.zones))
+    }
+
+    /// Whether work is being restored after the loss of a zone.
+    pub(super) fn is_restoring(&self) -> bool {
+        self.judges_zones() && self.zone_control.zones.is_restoring(self.now(), &self.policy.zones)
+    }
+
+    /// Zones that have failed too often lately.
+    pub(super) fn distrusted_zones(&mut self, spots: &[Spot]) -> BTreeSet<String> {
+        if !self.judges_zones() {
+            return BTreeSet::new();
+        }
+        let now = self.now();
+        let names: BTreeSet<&str> = spots.iter().map(|spot| spot.zone.as_str()).collect();
+        let control = &mut self.zone_control;
+        let distrusted = names.into_iter().filter(|zone| control.zones.is_distrusted(zone, now, &self.policy.zones));
+        distrusted.map(str::to_string).collect()
+    }
+
+    /// Notes what became of a start in a zone that returns.
+    pub(super) fn note_zone_start(&mut self, machine: &MachineId, what: ZoneStart) {
+        if !self.judges_zones() {
+            return;
+        }
+        let Some(record) = self.replica.machines.get(machine) else { return };
+        let zone = record.value.zone.as_str();
+        if self.zone_control.zones.condition(zone) != Condition::Returning {
+            return;
+        }
+        let Some(state) = self.zone_control.zones.state_mut(zone) else { return };
+        match what {
+            ZoneStart::Decided => state.ramp.started(),
+            ZoneStart::Withdrawn => state.ramp.withdrawn(),
+            ZoneStart::AtWork => state.ramp.succeeded(),
+            ZoneStart::Lost => state.ramp.lost(&self.policy.zones),
+        }
+    }
+
+    /// A start is proven gone. One that came to work since its zone returned, and was not told to stop, speaks against
+    /// the zone.
+    pub(super) fn note_zone_loss(&mut self, start: &Start) {
+        if !self.judges_zones() || start.stop.is_some() {
+            return;
+        }
+        let Some(record) = self.replica.machines.get(start.machine()) else { return };
+        let returned = self.zone_control.zones.state(&record.value.zone).map(|state| state.since());
+        let since_return = |at: Micros| returned.is_some_and(|returned| at >= returned);
+        if start.running_since.is_some_and(since_return) {
+            self.note_zone_start(start.machine(), ZoneStart::Lost);
+        }
+    }
+
+    /// Whether batch work of which nothing has begun has its turn among the services, with one task.
+    pub(super) fn is_starved_in_restoration(&self, id: &JobId) -> bool {
+        self.is_restoring() && self.as_waiting(id).is_some_and(|job| job.is_starved(&self.policy.zones))
+    }
+
+    fn as_waiting<'a>(&'a self, id: &'a JobId) -> Option<Waiting<'a, &'a JobId>> {
+        let job = self.jobs.get(id)?;
+        Some(Waiting {
+            key: id,
+            kind: match job.spec.kind {
+                Kind::Service => WorkKind::Service,
+                Kind::Gang => WorkKind::Gang,
+                Kind::Array => WorkKind::Array,
+            },
+            priority: match job.urgency.priority {
+                Priority::Low => 0,
+                Priority::Normal => 1,
+                Priority::High => 2,
+                Priority::Production => 3,
+            },
+            within_guarantee: self.within_guarantee(job),
+            class: &job.spec.class,
+            waited: self.clock.wall.since(job.ready),
+            has_begun: job.fresh_from > 0,
+        })
+    }
+
+    /// Jobs in the order in which they are restored.
+    pub(super) fn in_restoration_order(&self, waiting: &[JobId]) -> Vec<JobId> {
+        let jobs = waiting.iter().filter_map(|id| self.as_waiting(id)).collect();
+        restoration_order(jobs, &self.policy.zones).into_iter().cloned().collect()
+    }
+
+    /// Zones in which nothing may be rented now, given how many machines may still be ordered for each that returns.
+    pub(super) fn zones_closed_to_rentals(&self, ordered: &BTreeMap<String, u32>) -> BTreeSet<String> {
+        let mut closed = BTreeSet::new();
+        if !self.judges_zones() {
+            return closed;
+        }
+        for zone in &self.platform.deployment.zones {
+            let booting = || self.leader.boots.values().filter(|boot| boot.zone == *zone).count() as u32;
+            let full = || booting() + ordered.get(zone).copied().unwrap_or(0) >= self.policy.zones.return_boots;
+            if !self.zone_takes_work(zone) || (self.zone_is_returning(zone) && full()) {
+                closed.insert(zone.clone());
+            }
+        }
+        closed
+    }
+}
+
+/// What became of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ZoneStart {
+    Decided,
+    Withdrawn,
+    AtWork,
+    Lost,
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod platform;
 mod policy;
 
+pub use burlhatch_zones::ZoneSettings;
 pub use platform::{
     CloudLimits, Deployment, External, NextLimits, Objective, Platform, Quota, Sibling, StateLimits, Team, Workers,
 };
--- a/src/settings/policy.rs
+++ b/src/settings/policy.rs
@@ -1,6 +1,7 @@
 //! The operators' own settings: policy values with their defaults and bounds.
 
 use super::{SettingsError, invalid, read_file};
+use burlhatch_zones::ZoneSettings;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
@@ -12,11 +13,13 @@
         #[serde(deny_unknown_fields, default)]
         pub struct Policy {
             $($(#[doc = $doc])+ $(#[serde($serde)])? pub $name: $ty,)+
+            /// How failures of whole zones are handled.
+            pub zones: ZoneSettings,
         }
 
         impl Default for Policy {
             fn default() -> Policy {
-                Policy { $($name: $default,)+ }
+                Policy { $($name: $default,)+ zones: ZoneSettings::default() }
             }
         }
 
@@ -31,7 +34,7 @@
                         ));
                     }
                 )+
-                Ok(())
+                self.zones.check().map_err(|e| invalid(format!("zones.{}", e.field), e.message))
             }
         }
     };
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -7,6 +7,7 @@
 mod pipelines;
 mod upgrade;
 mod world;
+mod zones;
 
 use burlhatch::coordination::UserAnswer;
 use burlhatch::protocol::user::{JobState, Kind, Priority};
--- a/tests/rules/world/checks.rs
+++ b/tests/rules/world/checks.rs
@@ -5,6 +5,7 @@
 use burlhatch::bookkeeping::schema::ROOT;
 use burlhatch::protocol::user::Kind;
 use burlhatch::units::{JobId, MachineId};
+use burlhatch_zones::Condition;
 
 /// Longest time in which no question about an accepted job may be answered once troubles are over.
 /// The users' patience is 75 s.
@@ -87,6 +88,12 @@
         self.stored().machines.into_keys().collect()
     }
 
+    /// What the shares' holders have stored of a zone.
+    pub fn stored_conditions(&self, zone: &str) -> Vec<Condition> {
+        let views = self.stored().zones.into_iter().filter(|((name, _), _)| name == zone);
+        views.filter_map(|(_, stored)| Some(stored.value?.condition)).collect()
+    }
+
     /// Machines of one share in the stored records.
     pub fn machines_of_share(&self, share: u32) -> Vec<MachineId> {
         let in_share = self.stored().machines.into_iter().filter(|(_, record)| record.value.share == share);
--- a/tests/rules/world/cloud.rs
+++ b/tests/rules/world/cloud.rs
@@ -4,7 +4,7 @@
 use burlhatch::coordination::{CloudCall, CloudOutcome};
 use burlhatch::protocol::cloud::{ListedMachine, ListedState, MachineList, MachineNames, MachineType, MachineTypes};
 use burlhatch::units::MachineId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const LAG: u64 = 4 * S;
 /// Machines on one page of the list.
@@ -27,6 +27,8 @@
     pub capacity: usize,
     /// Of the machines rented one in so many never comes up; 0 for none.
     pub never_up: u32,
+    /// Zones in which nothing that is rented comes up.
+    pub dead_zones: BTreeSet<String>,
     /// Spot machines that are rented never come up.
     pub spot_is_dead: bool,
     /// Machines take so many times as long to come up, in percent.
@@ -43,6 +45,7 @@
             next: 0,
             capacity,
             never_up: 15,
+            dead_zones: BTreeSet::new(),
             spot_is_dead: false,
             boot_percent: 100,
             rented: [0; 2],
@@ -110,7 +113,8 @@
                 let mut names = Vec::new();
                 for _ in 0..room.min(rental.count as usize) {
                     let stuck = self.cloud.never_up > 0 && self.chance(self.cloud.never_up);
-                    let never = stuck || (rental.spot && self.cloud.spot_is_dead);
+                    let dead = self.cloud.dead_zones.contains(&rental.zone);
+                    let never = stuck || dead || (rental.spot && self.cloud.spot_is_dead);
                     let ordinary = (6 * S + self.pick(9 * S)) * self.cloud.boot_percent / 100;
                     let delay = if never { 1_000_000 * S } else { ordinary };
                     self.cloud.rented[usize::from(rental.spot)] += 1;
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -3,6 +3,7 @@
 use super::network::Cut;
 use super::{Event, Limits, MS, Place, S, World};
 use burlhatch::units::MachineId;
+use ciborium::Value;
 
 impl World {
     pub fn crash(&mut self, node: usize, back_after: u64) {
@@ -35,6 +36,32 @@
         self.cuts.push(Cut { between: Box::new(between), until, hold, one_way: false });
     }
 
+    /// The machines of a zone that are up.
+    pub fn machines_in(&self, zone: &str) -> Vec<MachineId> {
+        self.workers.iter().filter(|(_, worker)| worker.zone == zone).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Nothing gets through between a zone's machines and anybody outside; they work on.
+    pub fn cut_zone(&mut self, zone: &str, duration: u64, hold: bool) {
+        let cut_off = self.machines_in(zone);
+        self.cut(duration, hold, move |from, _| matches!(from, Place::Worker(id) if cut_off.contains(id)));
+    }
+
+    /// All machines of a zone are gone, and none comes up there until the zone is back.
+    pub fn kill_zone(&mut self, zone: &str) {
+        tracing::info!(at_ms = self.now / MS, zone, "trouble: zone lost");
+        for id in self.machines_in(zone) {
+            self.workers.remove(&id);
+        }
+        self.cloud.dead_zones.insert(zone.into());
+    }
+
+    /// Writes a key of the state service past all controllers.
+    pub fn write_key(&mut self, key: &str, value: Option<Value>) {
+        self.state.write(key, value);
+        self.wake_watches();
+    }
+
     /// The machine's reports arrive, but neither answers nor commands reach it.
     pub fn make_unreachable(&mut self, nth: usize, duration: u64) -> Option<MachineId> {
         let id = self.nth_worker(nth)?;
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -340,6 +340,7 @@
                 let old = self.old.contains(&i);
                 let next = if old { "" } else { &self.next_limits };
                 let mut policy = self.policy.clone();
+                policy.zones.enabled &= !old;
                 policy.record_version = if old { RecordVersion::FIRST.0 } else { policy.record_version };
                 let platform = Platform::parse(&(settings(i, self.size) + next)).expect("valid settings");
                 let node = &mut self.nodes[i];
--- a/tests/rules/world/state.rs
+++ b/tests/rules/world/state.rs
@@ -107,6 +107,16 @@
         }
     }
 
+    /// Writes or removes a key past all limits.
+    pub fn write(&mut self, key: &str, value: Option<Value>) {
+        self.revision += 1;
+        match value.clone() {
+            Some(value) => drop(self.keys.insert(key.into(), (value, self.revision, None))),
+            None => drop(self.keys.remove(key)),
+        }
+        self.record(key.into(), value);
+    }
+
     /// Whether that many changes are within the limit.
     fn admits(&mut self, now: u64, changes: usize) -> bool {
         if let Some((at, _, _, rate)) = self.lower
--- /dev/null
+++ b/tests/rules/zones.rs
@@ -0,0 +1,436 @@
+//! Zones that are lost and come back: services are restored first and without running twice, work returns step by step,
+//! and no single controller's blindness counts as a lost zone.
+
+use super::world::{MS, Place, S, Size, World};
+use super::{assert_clean, cancel_services, finish, keeping_idle_machines, ordinary_jobs, seeds};
+use burlhatch::protocol::user::{JobState, Kind, Priority};
+use burlhatch::settings::{Policy, ZoneSettings};
+use burlhatch::units::JobId;
+use burlhatch_zones::Condition;
+use ciborium::Value;
+
+const THREE_ZONES: Size = Size { nodes: 5, machines: 24, capacity: 48, write_rps: 60.0, zones: &["a", "b", "c"] };
+/// The worker's lease in this world: without a deletion nothing of a zone that is cut off starts elsewhere before.
+const LEASE: u64 = 20 * S;
+
+fn judging_zones() -> Policy {
+    Policy { zones: ZoneSettings { enabled: true, ..ZoneSettings::default() }, ..keeping_idle_machines() }
+}
+
+fn world_of(seed: u64, policy: Policy) -> World {
+    let mut world = World::sized(seed, policy, THREE_ZONES);
+    world.cloud.never_up = 0;
+    world
+}
+
+/// Services of two replicas each, of the team without a limit.
+fn submit_services(world: &mut World, count: u64) -> Vec<JobId> {
+    let spec = || World::spec(Kind::Service, "green", 2, 1.0);
+    (0..count).map(|n| world.submit(1 + n, spec())).collect()
+}
+
+/// Replicas of a service in other zones than this one.
+fn outside(world: &World, id: &JobId, zone: &str) -> usize {
+    world.workers.values().filter(|w| w.zone != zone).flat_map(|w| w.tasks.keys()).filter(|key| key.0 == *id).count()
+}
+
+fn inside(world: &World, zone: &str) -> usize {
+    world.workers.values().filter(|w| w.zone == zone).map(|w| w.tasks.len()).sum()
+}
+
+/// How long it takes until all replicas of these services are outside a zone.
+fn time_to_restore(world: &mut World, services: &[JobId], zone: &str, most: u64) -> Option<u64> {
+    let began = world.now;
+    while world.now - began < most {
+        let whole = |id: &JobId| outside(world, id, zone) == world.jobs[id].spec.tasks as usize;
+        if services.iter().all(whole) {
+            return Some(world.now - began);
+        }
+        world.run_for(250 * MS);
+    }
+    None
+}
+
+fn zone_keys(world: &World) -> Vec<String> {
+    world.stored_keys().into_iter().filter(|key| key.contains("/zone/")).collect()
+}
+
+/// The need: a zone is cut off, its machines work on, and their leases outlast what users bear. Judged as a whole its
+/// services are at work elsewhere long before; judged machine by machine they are not.
+#[test]
+fn services_of_a_zone_that_is_cut_off_are_restored_before_leases_run_out() {
+    for seed in seeds(100, 4) {
+        let mut restored = [None, None];
+        for (judged, restored) in restored.iter_mut().enumerate() {
+            let mut policy = judging_zones();
+            policy.zones.enabled = judged == 1;
+            let mut world = world_of(seed, policy);
+            let services = submit_services(&mut world, 12);
+            world.run_for(30 * S);
+            assert!(inside(&world, "a") > 0, "{seed}: nothing runs in the zone");
+            world.cut_zone("a", 90 * S, true);
+            *restored = time_to_restore(&mut world, &services, "a", 60 * S);
+            cancel_services(&mut world);
+            finish(&mut world, &format!("zone cut off {seed}"));
+        }
+        let [by_machine, by_zone] = restored;
+        assert!(by_zone.is_some_and(|span| span <= 15 * S), "{seed}: {by_zone:?}");
+        // A lease counts from the last report.
+        let leases_only = by_machine.is_none_or(|span| span > LEASE - 4 * S);
+        assert!(leases_only, "{seed}: {by_machine:?} without judging zones");
+    }
+}
+
+/// The zone is gone for good, with two of five controllers, the leader among them, in the morning's load.
+#[test]
+fn a_zone_that_dies_with_its_controllers_is_replaced() {
+    for seed in seeds(101, 4) {
+        let mut world = world_of(seed, judging_zones());
+        let services = submit_services(&mut world, 12);
+        ordinary_jobs_from(&mut world, 100, 20);
+        world.run_for(20 * S);
+        let leader = world.holder("leader").expect("somebody leads");
+        world.kill_zone("a");
+        world.crash(leader, 100 * S);
+        world.crash((leader + 1) % 5, 100 * S);
+        let restored = time_to_restore(&mut world, &services, "a", 60 * S);
+        assert!(restored.is_some_and(|span| span <= 30 * S), "{seed}: {restored:?}");
+        cancel_services(&mut world);
+        finish(&mut world, &format!("zone gone {seed}"));
+    }
+}
+
+fn ordinary_jobs_from(world: &mut World, from: u64, count: u64) {
+    for n in 0..count {
+        let tasks = 1 + world.pick(6) as u32;
+        let mut spec = World::spec(Kind::Array, "green", tasks, 2.0);
+        spec.estimate_s = 8.0;
+        world.submit(from + n, spec);
+    }
+}
+
+/// A controller that alone can't reach a zone's machines may not have them deleted: to others they may be well. Its own
+/// view is one vote of five.
+#[test]
+fn one_controllers_blindness_is_no_lost_zone() {
+    for seed in seeds(102, 4) {
+        let mut world = World::sized(seed, judging_zones(), Size { machines: 90, capacity: 110, ..THREE_ZONES });
+        world.cloud.never_up = 0;
+        submit_services(&mut world, 40);
+        world.run_for(30 * S);
+        let blind = world.holder("share/1").expect("somebody holds it");
+        let (unseen, before) = (world.machines_in("a"), world.workers.len());
+        world.cut(15 * S, false, move |from, to| {
+            *from == Place::Node(blind) && matches!(to, Place::Worker(id) if unseen.contains(id))
+        });
+        let mut seen = Vec::new();
+        for _ in 0..15 {
+            world.run_for(S);
+            seen.extend(world.stored_conditions("a"));
+        }
+        assert!(!seen.is_empty(), "{seed}: nobody noticed");
+        assert!(!seen.contains(&Condition::Lost), "{seed}: taken for lost by one controller's word");
+        assert_eq!(world.workers.len(), before, "{seed}: machines were deleted");
+        cancel_services(&mut world);
+        finish(&mut world, &format!("blind controller {seed}"));
+    }
+}
+
+/// The zone is heard again at any moment of the move away: before anything is decided, while deletions are on their way,
+/// when some replicas are elsewhere already. Nothing may run twice, and what was cancelled meanwhile must end.
+#[test]
+fn a_zone_that_returns_in_the_middle_of_the_move_runs_nothing_twice() {
+    for seed in seeds(103, 12) {
+        let mut world = world_of(seed, judging_zones());
+        let services = submit_services(&mut world, 10);
+        ordinary_jobs_from(&mut world, 100, 10);
+        world.run_for(20 * S);
+        let span = 3 * S + seed % 12 * 700 * MS;
+        world.late_writes(30 * S, 6);
+        world.cut_zone("a", span, true);
+        world.run_for(2 * S);
+        world.call_off(&services[0]);
+        world.call_off(&services[1]);
+        world.run_for(span);
+        world.run_for(20 * S);
+        cancel_services(&mut world);
+        finish(&mut world, &format!("returned in the middle {seed}"));
+    }
+}
+
+/// A flap shorter than detection leaves no trace.
+#[test]
+fn a_flap_shorter_than_detection_changes_nothing() {
+    let mut world = world_of(104_000, judging_zones());
+    submit_services(&mut world, 8);
+    world.run_for(30 * S);
+    let (before, started) = (world.workers.len(), world.started);
+    world.cut_zone("a", 1500 * MS, true);
+    world.run_for(20 * S);
+    assert_eq!((world.workers.len(), world.started), (before, started));
+    assert!(zone_keys(&world).is_empty(), "{:?}", zone_keys(&world));
+    cancel_services(&mut world);
+    finish(&mut world, "short flap");
+}
+
+/// Twice lost within a minute: for a while the zone is not trusted with all replicas of a service. Its penalty is
+/// stored, so that a restart of all controllers does not forget it.
+#[test]
+fn a_zone_that_flaps_twice_is_not_trusted_with_a_services_only_replica() {
+    for seed in seeds(105, 4) {
+        let mut policy = judging_zones();
+        // Its machines stay, so that there is something to lose again.
+        policy.zones.evacuate = false;
+        let mut world = world_of(seed, policy);
+        submit_services(&mut world, 8);
+        world.run_for(30 * S);
+        for _ in 0..2 {
+            world.cut_zone("a", 10 * S, true);
+            world.run_for(25 * S);
+        }
+        for node in 0..5 {
+            world.crash(node, S);
+        }
+        world.run_for(15 * S);
+        let single: Vec<JobId> =
+            (0..9).map(|n| world.submit(200 + n, World::spec(Kind::Service, "green", 1, 1.0))).collect();
+        world.run_for(15 * S);
+        let there = single.iter().filter(|id| world.running(id) > outside(&world, id, "a")).count();
+        assert_eq!(there, 0, "{seed}: {there} single replicas in the zone that flaps");
+        cancel_services(&mut world);
+        finish(&mut world, &format!("two flaps {seed}"));
+    }
+}
+
+/// The second zone goes while the first is being restored. What is left has room for all services.
+#[test]
+fn a_second_zone_lost_in_the_restoration_of_the_first() {
+    for seed in seeds(106, 4) {
+        let mut world = world_of(seed, judging_zones());
+        let services = submit_services(&mut world, 6);
+        world.run_for(30 * S);
+        world.cut_zone("a", 80 * S, true);
+        world.run_for(7 * S);
+        world.cut_zone("b", 80 * S, true);
+        let began = world.now;
+        while services.iter().any(|id| outside_of_both(&world, id) < 2) {
+            world.run_for(500 * MS);
+            assert!(world.now - began <= 45 * S, "{seed}: not restored");
+        }
+        cancel_services(&mut world);
+        finish(&mut world, &format!("two zones {seed}"));
+    }
+}
+
+fn outside_of_both(world: &World, id: &JobId) -> usize {
+    let workers = world.workers.values().filter(|w| w.zone == "c");
+    workers.flat_map(|w| w.tasks.keys()).filter(|key| key.0 == *id).count()
+}
+
+/// The state service is away, or refuses the leader alone, at the loss, in the middle, and at the return; a new leader
+/// takes over in between. Nothing is decided on stale records.
+#[test]
+fn restoration_survives_outages_and_changes_of_the_leader() {
+    for seed in seeds(107, 9) {
+        let mut world = world_of(seed, judging_zones());
+        let services = submit_services(&mut world, 9);
+        ordinary_jobs_from(&mut world, 100, 8);
+        world.run_for(25 * S);
+        let trouble = |world: &mut World, when: u64| {
+            let leader = world.holder("leader").unwrap_or(0);
+            match (seed + when) % 3 {
+                0 => world.state_outage(8 * S),
+                1 => world.refuse_node(leader, 10 * S),
+                _ => world.crash(leader, 3 * S),
+            }
+        };
+        world.cut_zone("a", 30 * S, true);
+        trouble(&mut world, 0);
+        world.run_for(7 * S);
+        trouble(&mut world, 1);
+        world.run_for(20 * S);
+        trouble(&mut world, 2);
+        let restored = time_to_restore(&mut world, &services, "none", 60 * S);
+        assert!(restored.is_some(), "{seed}: services are not whole");
+        cancel_services(&mut world);
+        finish(&mut world, &format!("troubles in restoration {seed}"));
+    }
+}
+
+/// Elsewhere nothing can be rented, or what is rented never comes up: services take the room there is, batch work makes
+/// way, and no machine of the zone is deleted for a replica that would find no place.
+#[test]
+fn without_capacity_elsewhere_machines_are_not_given_up_for_nothing() {
+    for seed in seeds(108, 4) {
+        let size = Size { machines: 9, capacity: 9, ..THREE_ZONES };
+        let mut world = World::sized(seed, judging_zones(), size);
+        // Eleven of twelve places in each zone.
+        let services: Vec<JobId> =
+            (0..33).map(|n| world.submit(1 + n, World::spec(Kind::Service, "green", 1, 1.0))).collect();
+        world.run_for(40 * S);
+        let before = world.workers.len();
+        world.cloud.capacity = 0;
+        world.cut_zone("a", 12 * S, true);
+        world.run_for(12 * S);
+        let deleted = before - world.workers.len();
+        assert!(deleted <= 1, "{seed}: {deleted} machines were deleted though there was no room for their replicas");
+        world.cloud.capacity = 9;
+        let restored = time_to_restore(&mut world, &services, "none", 90 * S);
+        assert!(restored.is_some(), "{seed}: services are not whole");
+        cancel_services(&mut world);
+        finish(&mut world, &format!("no capacity {seed}"));
+    }
+}
+
+/// Gangs in one zone, jobs that must be spread and jobs bound to the lost zone, next to cuts and flaps.
+#[test]
+fn jobs_bound_to_zones_go_through_losses_and_returns() {
+    for seed in seeds(109, 6) {
+        let mut world = world_of(seed, judging_zones());
+        world.report_copies = 3;
+        ordinary_jobs(&mut world, 30);
+        for round in 0..3 {
+            world.run_for(12 * S);
+            let zone = ["a", "b", "c"][((seed + round) % 3) as usize];
+            let span = (4 + world.pick(25)) * S;
+            world.cut_zone(zone, span, true);
+        }
+        finish(&mut world, &format!("bound jobs {seed}"));
+    }
+}
+
+/// Controllers that judge zones beside some that do not, which change while a zone is lost.
+#[test]
+fn versions_that_do_not_judge_zones_beside_those_that_do() {
+    for seed in seeds(110, 5) {
+        let mut world = world_of(seed, judging_zones());
+        world.all_old();
+        submit_services(&mut world, 8);
+        ordinary_jobs_from(&mut world, 100, 10);
+        for node in 0..5 {
+            if node % 2 == 0 {
+                world.upgrade(node);
+            }
+            world.run_for(6 * S);
+        }
+        world.cut_zone("a", 25 * S, true);
+        world.run_for(6 * S);
+        world.upgrade(1);
+        world.go_back(0, S);
+        world.run_for(30 * S);
+        cancel_services(&mut world);
+        finish(&mut world, &format!("versions {seed}"));
+    }
+}
+
+/// A zone that returns gets its work step by step: in no step more starts than the settings allow, though hundreds wait.
+#[test]
+fn work_comes_back_in_steps() {
+    for seed in seeds(111, 3) {
+        let mut policy = judging_zones();
+        policy.zones.penalty_per_loss = 0.0;
+        let zones = policy.zones.clone();
+        let mut world = world_of(seed, policy);
+        world.run_for(10 * S);
+        world.cut_zone("a", 40 * S, false);
+        world.run_for(41 * S);
+        // Everything that waits is bound to the zone, and each task takes long.
+        for n in 0..6 {
+            let mut spec = World::spec(Kind::Array, "green", 8, 0.5);
+            spec.zone = Some("a".into());
+            spec.estimate_s = 300.0;
+            world.submit(300 + n, spec);
+        }
+        let shares = 5;
+        let mut seen = Vec::new();
+        for _ in 0..20 {
+            world.run_for(S);
+            seen.push(inside(&world, "a"));
+        }
+        let first = (zones.ramp_initial * shares) as usize;
+        let began = seen.iter().position(|count| *count > 0).expect("work came back");
+        // Each share's steps begin at a moment of its own: two of them may fall into one step's time.
+        let step = (zones.ramp_step_ms / 1000) as usize;
+        let early = seen[(began + step - 1).min(seen.len() - 1)];
+        assert!(early <= first * 3, "{seed}: {early} starts in the first step's time, {seen:?}");
+        assert!(*seen.last().expect("looked") > early, "{seed}: nothing more came back: {seen:?}");
+        for job in world.jobs.values_mut() {
+            job.cancel_at = Some(0);
+        }
+        finish(&mut world, &format!("steps {seed}"));
+    }
+}
+
+/// While services are restored batch work waits, and none of them waits for it.
+#[test]
+fn services_go_before_batch_work_in_a_restoration() {
+    for seed in seeds(112, 4) {
+        let size = Size { machines: 12, capacity: 12, ..THREE_ZONES };
+        let mut world = World::sized(seed, judging_zones(), size);
+        let services: Vec<JobId> =
+            (0..12).map(|n| world.submit(1 + n, World::spec(Kind::Service, "green", 1, 1.0))).collect();
+        // Batch work of the same priority as ordinary work has it, more than there is room for.
+        for n in 0..40 {
+            let mut spec = World::spec(Kind::Array, "green", 4, 1.0);
+            spec.estimate_s = 6.0;
+            spec.priority = Priority::High;
+            world.submit(100 + n, spec);
+        }
+        world.run_for(25 * S);
+        world.cut_zone("a", 60 * S, true);
+        let restored = time_to_restore(&mut world, &services, "a", 60 * S);
+        assert!(restored.is_some_and(|span| span <= 18 * S), "{seed}: {restored:?}");
+        cancel_services(&mut world);
+        finish(&mut world, &format!("order {seed}"));
+        let arrays = world.jobs.values().filter(|job| job.spec.kind == Kind::Array);
+        assert!(arrays.filter(|job| job.told == Some(JobState::Done)).count() >= 35, "{seed}: batch work was lost");
+    }
+}
+
+/// Operators hold a zone: nothing new starts there, its services leave one replica at a time, and come to work elsewhere
+/// before the next one leaves. Released, it takes work again.
+#[test]
+fn a_zone_on_hold_is_emptied_one_replica_at_a_time() {
+    let mut policy = judging_zones();
+    policy.zones.moves_per_minute = 60.0;
+    policy.zones.move_pause_ms = 2000;
+    policy.zones.hold_wait_ms = 5000;
+    let mut world = world_of(113_000, policy);
+    let services = submit_services(&mut world, 6);
+    world.run_for(30 * S);
+    assert!(services.iter().any(|id| outside(&world, id, "a") < 2), "no replica is in the zone");
+    world.write_key("bh/zone-hold/a", Some(Value::Map(vec![(Value::Text("at".into()), Value::Integer(1.into()))])));
+    let mut least = usize::MAX;
+    for _ in 0..240 {
+        world.run_for(250 * MS);
+        least = least.min(services.iter().map(|id| world.running(id)).min().unwrap_or(0));
+    }
+    assert!(least >= 1, "a service lost all replicas at once");
+    assert!(services.iter().all(|id| outside(&world, id, "a") == 2), "the zone still has replicas");
+    world.write_key("bh/zone-hold/a", None);
+    let mut bound = World::spec(Kind::Array, "green", 2, 1.0);
+    bound.zone = Some("a".into());
+    let bound = world.submit(50, bound);
+    world.run_for(20 * S);
+    assert!(world.jobs[&bound].begun.is_some(), "the zone takes no work though it was released");
+    cancel_services(&mut world);
+    finish(&mut world, "hold");
+}
+
+/// What can't be read among the stored views is not trusted, and taken away by the share's holder.
+#[test]
+fn unreadable_views_are_ignored_and_written_anew() {
+    let mut world = world_of(114_000, judging_zones());
+    submit_services(&mut world, 6);
+    world.run_for(20 * S);
+    let (before, started) = (world.workers.len(), world.started);
+    for share in 0..5 {
+        world.write_key(&format!("bh/zone/a/{share}"), Some(Value::Text("lost".into())));
+    }
+    world.run_for(10 * S);
+    assert_eq!((world.workers.len(), world.started), (before, started), "an unreadable view was acted on");
+    assert!(zone_keys(&world).is_empty(), "{:?}", zone_keys(&world));
+    cancel_services(&mut world);
+    finish(&mut world, "unreadable");
+    assert_clean(&world, "unreadable");
+}
