--- a/src/coordination/evacuation.rs
+++ b/src/coordination/evacuation.rs
@@ -6,6 +6,7 @@
 
 use super::Core;
 use super::capacity::count_in;
+use super::jobs::Job;
 use super::placement::Spot;
 use crate::bookkeeping::schema::{Hold, Role};
 use crate::protocol::user::Kind;
@@ -17,7 +18,7 @@
 /// the starts that the deletions make room for need changes as well.
 const EVACUATIONS_LEAST: usize = 2;
 
-/// Places that are kept for replicas: how many for each job.
+/// Places for replicas: how many for each job.
 type Places = BTreeMap<JobId, u32>;
 
 impl Core {
@@ -67,8 +68,12 @@
     /// Keeps room for displaced replicas of a share on machines that take work, holders of their images first. Says for
     /// how many of each job there is room.
     pub(super) fn reserve_displaced(&self, share: u32, spots: &mut [Spot]) -> Places {
+        self.reserve_places(&self.zone_control.displaced, share, spots)
+    }
+
+    fn reserve_places(&self, wanted: &Places, share: u32, spots: &mut [Spot]) -> Places {
         let mut places = Places::new();
-        for (id, count) in &self.zone_control.displaced {
+        for (id, count) in wanted {
             let Some(job) = self.jobs.get(id).filter(|job| job.share == share) else { continue };
             let allowance = self.allowance_beyond_lost_zones(job);
             let mut left = u64::from(*count);
@@ -112,6 +117,8 @@
         }
         let mut spots = self.spots_of(share);
         spots.iter_mut().for_each(Spot::clear_reserved);
+        // What was proven gone a moment ago waits for its place, and takes it first.
+        self.reserve_places(&self.waiting_services(share), share, &mut spots);
         let mut places = self.reserve_displaced(share, &mut spots);
         let mut on_their_way = self.evacuations_on_their_way(share);
         for id in &on_their_way {
@@ -132,6 +139,11 @@
         }
     }
 
+    fn waiting_services(&self, share: u32) -> Places {
+        let waits = |job: &&Job| job.share == share && job.spec.kind == Kind::Service && job.waiting() > 0;
+        self.jobs.values().filter(waits).map(|job| (job.live.job().clone(), job.waiting())).collect()
+    }
+
     /// Silent machines of a share in zones that have been lost for long enough, with services, not yet to be deleted.
     fn machines_to_evacuate(&self, share: u32) -> Vec<MachineId> {
         if self.held(Role::Share(share)).is_none() {
