--- /dev/null
+++ b/crates/testbed/src/worker.rs
@@ -0,0 +1,378 @@
+//! A stand-in machine: its worker reports, keeps a lease, obeys the highest token and runs tasks that only wait.
+
+use crate::history::{Event, History};
+use crate::http::{Call, Reply, serve};
+use burlhatch::protocol::user::{JobSpec, Kind};
+use burlhatch::protocol::worker::{DirectOrders, ExitCause, Order, Orders, Report, ReportedTask, TaskState};
+use burlhatch::protocol::{decode, encode};
+use burlhatch::transport::client::Client;
+use burlhatch::units::{JobId, MachineId, TaskId, Term};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+const STEP: Duration = Duration::from_millis(50);
+const REPORT_LIMIT: Duration = Duration::from_secs(4);
+const RETRY: Duration = Duration::from_millis(1000);
+const LEAST_PAUSE: Duration = Duration::from_millis(500);
+/// Time that fetching any image takes.
+const FETCH: Duration = Duration::from_millis(400);
+
+/// How a zone's machines are connected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// All is well.
+    Up,
+    /// Nothing gets through; machines work on.
+    Cut,
+}
+
+/// The connection of one zone, changed by scenarios.
+#[derive(Clone, Default)]
+pub struct ZoneLink(Arc<AtomicU8>);
+
+impl ZoneLink {
+    /// Cuts or mends it.
+    pub fn set(&self, link: Link) {
+        self.0.store(u8::from(link == Link::Cut), Ordering::SeqCst);
+    }
+
+    fn is_cut(&self) -> bool {
+        self.0.load(Ordering::SeqCst) != 0
+    }
+}
+
+/// What all machines of a run share.
+#[derive(Clone)]
+pub struct Surroundings {
+    /// Where controllers listen, by label.
+    pub controllers: BTreeMap<String, SocketAddr>,
+    /// Jobs that users have uploaded.
+    pub jobs: Arc<Mutex<BTreeMap<JobId, JobSpec>>>,
+    /// What happens.
+    pub history: History,
+    /// Time between reports.
+    pub report_every: Duration,
+    /// Without an answered report for so long a worker ends its tasks.
+    pub lease: Duration,
+}
+
+/// What a machine is.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// Its type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it may be taken back.
+    pub spot: bool,
+    /// Processors that it has.
+    pub cpus: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    attempt: u64,
+    state: TaskState,
+    due: Option<Instant>,
+}
+
+struct WorkerState {
+    session: u64,
+    seq: u64,
+    token: Term,
+    renewed: Instant,
+    tasks: BTreeMap<String, Task>,
+    exited: BTreeMap<(String, u64), ExitCause>,
+    images: BTreeSet<String>,
+    changed: bool,
+}
+
+struct Worker {
+    machine: Machine,
+    link: ZoneLink,
+    around: Surroundings,
+    state: Mutex<WorkerState>,
+}
+
+/// A machine that is up; gone, with all that was on it, when this is dropped.
+pub struct RunningMachine {
+    worker: Arc<Worker>,
+    _tasks: JoinSet<()>,
+    _server: JoinSet<()>,
+}
+
+impl RunningMachine {
+    /// Tasks at work there.
+    pub fn at_work(&self) -> Vec<String> {
+        let state = self.worker.locked();
+        state.tasks.iter().filter(|(_, task)| task.state == TaskState::Running).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Its zone.
+    pub fn zone(&self) -> &str {
+        &self.worker.machine.zone
+    }
+}
+
+impl Drop for RunningMachine {
+    fn drop(&mut self) {
+        let mut state = self.worker.locked();
+        self.worker.end_all(&mut state);
+        // What still runs of it may not begin anything any more.
+        state.session = u64::MAX;
+    }
+}
+
+/// Brings a machine up.
+pub async fn start(machine: Machine, link: ZoneLink, around: Surroundings) -> io::Result<RunningMachine> {
+    let state = WorkerState {
+        session: 1,
+        seq: 0,
+        token: Term(0),
+        renewed: Instant::now(),
+        tasks: BTreeMap::new(),
+        exited: BTreeMap::new(),
+        images: BTreeSet::new(),
+        changed: true,
+    };
+    let worker = Arc::new(Worker { machine, link, around, state: Mutex::new(state) });
+    let orders = worker.clone();
+    let (address, server) = serve(move |call| {
+        let worker = orders.clone();
+        async move { worker.direct(&call) }
+    })
+    .await?;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(step_on(worker.clone()));
+    tasks.spawn(report_on(worker.clone(), address));
+    Ok(RunningMachine { worker, _tasks: tasks, _server: server })
+}
+
+async fn step_on(worker: Arc<Worker>) {
+    loop {
+        tokio::time::sleep(STEP).await;
+        worker.step();
+    }
+}
+
+async fn report_on(worker: Arc<Worker>, address: SocketAddr) {
+    let client = Client::default();
+    let labels: Vec<String> = worker.around.controllers.keys().cloned().collect();
+    let mut at = 0;
+    loop {
+        let sent = Instant::now();
+        let report = worker.locked_report(address);
+        let session = report.session;
+        let controller = worker.around.controllers[&labels[at % labels.len()]];
+        let answer = if worker.link.is_cut() {
+            tokio::time::sleep(REPORT_LIMIT).await;
+            None
+        } else {
+            client.call(controller, Method::POST, "/checkin", encode(&report), REPORT_LIMIT).await.ok()
+        };
+        let answer = answer.filter(|_| !worker.link.is_cut());
+        let pause = match answer {
+            Some(answer) if answer.status == 200 => {
+                if let Ok(orders) = decode::<Orders>(&answer.body) {
+                    worker.take_answer(&orders, sent, session);
+                }
+                worker.pause_until_next()
+            }
+            Some(answer) if answer.status == 421 => {
+                let body: Value = decode(&answer.body).unwrap_or(Value::Null);
+                let named = body["harbour"].as_str().and_then(|label| labels.iter().position(|known| known == label));
+                let other = named.filter(|named| *named != at % labels.len());
+                at = other.unwrap_or(at + 1);
+                if other.is_some() { Duration::from_millis(50) } else { RETRY }
+            }
+            _ => {
+                at += 1;
+                RETRY
+            }
+        };
+        worker.wait(pause).await;
+    }
+}
+
+impl Worker {
+    fn locked(&self) -> MutexGuard<'_, WorkerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn locked_report(&self, address: SocketAddr) -> Report {
+        let mut state = self.locked();
+        state.changed = false;
+        self.report(&mut state, Some(address))
+    }
+
+    fn report(&self, state: &mut WorkerState, address: Option<SocketAddr>) -> Report {
+        state.seq += 1;
+        let running = state.tasks.iter().map(|(name, task)| (name.clone(), task.attempt, task.state, None));
+        let exited =
+            state.exited.iter().map(|((name, attempt), why)| (name.clone(), *attempt, TaskState::Exited, Some(*why)));
+        let tasks = running
+            .chain(exited)
+            .map(|(task, attempt, state, why)| ReportedTask { task, attempt, state, why, saved: None })
+            .collect();
+        Report {
+            machine: self.machine.id.clone(),
+            addr: address.map(|address| address.to_string()),
+            machine_type: self.machine.machine_type.clone(),
+            zone: self.machine.zone.clone(),
+            spot: self.machine.spot,
+            session: state.session,
+            seq: state.seq,
+            token: state.token,
+            notice_s: None,
+            tasks,
+        }
+    }
+
+    /// Until the next report is due, sooner if something changes.
+    async fn wait(&self, pause: Duration) {
+        let began = Instant::now();
+        while began.elapsed() < pause {
+            tokio::time::sleep(STEP).await;
+            if self.locked().changed && began.elapsed() >= LEAST_PAUSE {
+                return;
+            }
+        }
+    }
+
+    fn pause_until_next(&self) -> Duration {
+        self.around.report_every
+    }
+
+    fn take_answer(&self, orders: &Orders, sent: Instant, session: u64) {
+        let mut state = self.locked();
+        if orders.token < state.token || session != state.session {
+            return;
+        }
+        state.changed |= orders.token > state.token;
+        state.token = orders.token;
+        state.renewed = state.renewed.max(sent);
+        self.obey(&mut state, &orders.orders);
+    }
+
+    /// A direct message.
+    fn direct(&self, call: &Call) -> Reply {
+        if self.link.is_cut() {
+            return None;
+        }
+        let Ok(orders) = decode::<DirectOrders>(&call.body) else {
+            return Some((400, json!({"error": "malformed"})));
+        };
+        let mut state = self.locked();
+        let fits = orders.token >= state.token && orders.session == state.session;
+        if fits {
+            state.changed |= orders.token > state.token;
+            state.token = orders.token;
+            self.obey(&mut state, &orders.orders);
+        }
+        let report = self.report(&mut state, None);
+        let body = serde_json::to_value(&report).unwrap_or(Value::Null);
+        Some((if fits { 200 } else { 409 }, body))
+    }
+
+    fn obey(&self, state: &mut WorkerState, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.start_task(state, task, *attempt),
+                Order::Stop { task, attempt, .. } => {
+                    if state.tasks.get(task).is_some_and(|here| here.attempt == *attempt) {
+                        self.exit(state, task, ExitCause::Stopped);
+                    }
+                }
+                Order::Forget { task, attempt } => drop(state.exited.remove(&(task.clone(), *attempt))),
+            }
+        }
+    }
+
+    fn spec_of(&self, task: &str) -> Option<JobSpec> {
+        let job = TaskId::parse(task)?.job;
+        self.around.jobs.lock().unwrap_or_else(PoisonError::into_inner).get(&job).cloned()
+    }
+
+    fn start_task(&self, state: &mut WorkerState, name: &str, attempt: u64) {
+        let known = state.exited.contains_key(&(name.to_string(), attempt));
+        if known || state.tasks.get(name).is_some_and(|task| task.attempt == attempt) {
+            return;
+        }
+        state.changed = true;
+        let used: f64 = state.tasks.keys().filter_map(|task| self.spec_of(task)).map(|spec| spec.cpus).sum();
+        let refusal = match self.spec_of(name) {
+            None => Some(ExitCause::Unknown),
+            Some(_) if state.tasks.contains_key(name) => Some(ExitCause::Busy),
+            Some(spec) if used + spec.cpus > self.machine.cpus + 1e-9 => Some(ExitCause::NoRoom),
+            Some(_) => None,
+        };
+        if let Some(why) = refusal {
+            state.exited.insert((name.to_string(), attempt), why);
+            return;
+        }
+        let held = self.spec_of(name).is_some_and(|spec| state.images.contains(&spec.image));
+        let due = Instant::now() + if held { Duration::ZERO } else { FETCH };
+        state.tasks.insert(name.to_string(), Task { attempt, state: TaskState::Fetching, due: Some(due) });
+    }
+
+    fn step(&self) {
+        let now = Instant::now();
+        let mut state = self.locked();
+        if state.session == u64::MAX {
+            return;
+        }
+        if now.duration_since(state.renewed) > self.around.lease {
+            self.end_all(&mut state);
+            state.session += 1;
+            state.renewed = now;
+            state.changed = true;
+        }
+        let due = state.tasks.iter().filter(|(_, task)| task.due.is_some_and(|due| due <= now));
+        let due: Vec<String> = due.map(|(name, _)| name.clone()).collect();
+        for name in due {
+            let Some(spec) = self.spec_of(&name) else { continue };
+            let fetched = state.tasks.get(&name).is_some_and(|task| task.state == TaskState::Fetching);
+            state.changed = true;
+            if !fetched {
+                self.exit(&mut state, &name, ExitCause::Done);
+                continue;
+            }
+            state.images.insert(spec.image.clone());
+            let runs = (spec.kind != Kind::Service).then(|| now + Duration::from_secs_f64(spec.estimate_s));
+            if let Some(task) = state.tasks.get_mut(&name) {
+                (task.state, task.due) = (TaskState::Running, runs);
+            }
+            self.around.history.add(Event::Begun { machine: self.machine.id.to_string(), task: name });
+        }
+    }
+
+    fn exit(&self, state: &mut WorkerState, name: &str, why: ExitCause) {
+        let Some(task) = state.tasks.remove(name) else { return };
+        state.changed = true;
+        state.exited.insert((name.to_string(), task.attempt), why);
+        self.note_left(name, &task, why == ExitCause::Done);
+    }
+
+    fn note_left(&self, name: &str, task: &Task, done: bool) {
+        if task.state != TaskState::Fetching {
+            let machine = self.machine.id.to_string();
+            self.around.history.add(Event::Left { machine, task: name.to_string(), done });
+        }
+    }
+
+    fn end_all(&self, state: &mut WorkerState) {
+        for (name, task) in std::mem::take(&mut state.tasks) {
+            self.note_left(&name, &task, false);
+        }
+        state.exited.clear();
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,9 +2,13 @@
 
 use burlhatch::settings::{Platform, Policy, SettingsError};
 use burlhatch::transport::daemon;
+use burlhatch::transport::zone_admin::{self, ZoneAction};
+use burlhatch::units::Micros;
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::runtime::{Builder, Runtime};
 use tracing::Level;
 
 /// A controller of the burlhatch cluster scheduler.
@@ -39,6 +43,40 @@
     Schema,
     /// Print the operators' settings with their default values
     Defaults,
+    /// See how zones stand, hold a zone or release it
+    Zones {
+        /// The platform's settings file (TOML)
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        #[command(subcommand)]
+        action: ZonesCommand,
+    },
+}
+
+#[derive(Subcommand)]
+enum ZonesCommand {
+    /// How all zones stand
+    List,
+    /// Start nothing new in a zone, and let its services leave it
+    Hold {
+        /// Name of the zone
+        zone: String,
+    },
+    /// Let a zone take work again
+    Release {
+        /// Name of the zone
+        zone: String,
+    },
+}
+
+impl From<ZonesCommand> for ZoneAction {
+    fn from(command: ZonesCommand) -> ZoneAction {
+        match command {
+            ZonesCommand::List => ZoneAction::List,
+            ZonesCommand::Hold { zone } => ZoneAction::Hold(zone),
+            ZonesCommand::Release { zone } => ZoneAction::Release(zone),
+        }
+    }
 }
 
 const BAD_SETTINGS: u8 = 2;
@@ -83,6 +121,10 @@
                 Err(e) => fail(&e),
             }
         }
+        Some(Action::Zones { config, action }) => match Platform::load(&config) {
+            Ok(platform) => administer_zones(&platform, &action.into()),
+            Err(e) => fail(&e),
+        },
         None => {
             let Some(config) = arguments.config else {
                 return fail(&"--config is missing, see --help");
@@ -101,8 +143,31 @@
     }
 }
 
+fn runtime() -> std::io::Result<Runtime> {
+    Builder::new_current_thread().enable_all().build()
+}
+
+fn administer_zones(platform: &Platform, action: &ZoneAction) -> ExitCode {
+    let runtime = match runtime() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(&e),
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64);
+    match runtime.block_on(zone_admin::administer(platform, action, Micros(now))) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) if e.is_bad_input() => fail(&e),
+        Err(e) => {
+            eprintln!("burlhatch: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run(platform: Platform, policy: Policy) -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let runtime = match runtime() {
         Ok(runtime) => runtime,
         Err(e) => return fail(&e),
     };
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,3 +6,4 @@
 pub mod limits;
 pub mod server;
 mod siblings;
+pub mod zone_admin;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,54 +2,7 @@
 
 use burlhatch::settings::{Platform, Policy};
 
-const SETTINGS: &str = r#"
-label = "node-a"
-site = "z1"
-public_addr = "127.0.0.1:8080"
-back = "127.0.0.1:8081"
-colour = "ignored"
-
-[[siblings]]
-label = "node-b"
-site = "z2"
-address = "127.0.0.1:9081"
-
-[external]
-cloud = "127.0.0.1:8443"
-state = "127.0.0.1:2379"
-
-[deployment]
-nodes = 2
-zones = ["z1", "z2"]
-time_bound_ms = 100.0
-
-[[deployment.teams]]
-name = "red"
-cpus = 4.0
-cpus_max = 8.0
-
-[deployment.workers]
-report_s = 3.0
-lease_s = 20.0
-gang_wait_s = 30.0
-gang_peer_s = 5.0
-cancel_s = 40.0
-
-[deployment.state]
-rps = 100.0
-write_rps = 20.0
-value_kb = 4.0
-txn_ops = 12
-
-[deployment.cloud]
-rps = 4.0
-list_lag_s = 5.0
-
-[deployment.quota]
-cpu = 0.3
-mem_mb = 128.0
-fd_limit = 1000
-"#;
+const SETTINGS: &str = include_str!("settings_files/two-controllers.toml");
 
 #[test]
 fn the_platforms_file_is_read_and_unknown_fields_are_ignored() {
