--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -8,6 +8,7 @@
 mod upgrade;
 mod world;
 mod zones;
+mod zones_measured;
 
 use burlhatch::coordination::UserAnswer;
 use burlhatch::protocol::user::{JobState, Kind, Priority};
--- a/tests/rules/world/checks.rs
+++ b/tests/rules/world/checks.rs
@@ -6,6 +6,7 @@
 use burlhatch::protocol::user::Kind;
 use burlhatch::units::{JobId, MachineId};
 use burlhatch_zones::Condition;
+use std::collections::BTreeSet;
 
 /// Longest time in which no question about an accepted job may be answered once troubles are over.
 /// The users' patience is 75 s.
@@ -110,6 +111,15 @@
         self.workers.values().flat_map(|w| w.tasks.keys()).filter(|k| k.0 == *id).count()
     }
 
+    /// The most images that any machine has to fetch at this moment.
+    pub fn longest_fetch_queue(&self) -> usize {
+        let queues = self.workers.values().map(|worker| {
+            let fetching = worker.tasks.iter().filter(|(_, task)| task.is_fetching());
+            fetching.map(|((job, _), _)| &self.jobs[job].spec.image).collect::<BTreeSet<_>>().len()
+        });
+        queues.max().unwrap_or(0)
+    }
+
     /// Changes that the state service has carried out.
     pub fn changes(&self) -> u64 {
         self.state.written
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -4,6 +4,7 @@
 use super::{Event, Limits, MS, Place, S, World};
 use burlhatch::units::MachineId;
 use ciborium::Value;
+use std::collections::BTreeSet;
 
 impl World {
     pub fn crash(&mut self, node: usize, back_after: u64) {
@@ -43,7 +44,7 @@
 
     /// Nothing gets through between a zone's machines and anybody outside; they work on.
     pub fn cut_zone(&mut self, zone: &str, duration: u64, hold: bool) {
-        let cut_off = self.machines_in(zone);
+        let cut_off: BTreeSet<MachineId> = self.machines_in(zone).into_iter().collect();
         self.cut(duration, hold, move |from, _| matches!(from, Place::Worker(id) if cut_off.contains(id)));
     }
 
--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -30,6 +30,12 @@
     since: u64,
 }
 
+impl Task {
+    pub fn is_fetching(&self) -> bool {
+        self.state == TaskState::Fetching
+    }
+}
+
 pub struct Worker {
     machine_type: String,
     pub zone: String,
--- /dev/null
+++ b/tests/rules/zones_measured.rs
@@ -0,0 +1,146 @@
+//! Measurements of a zone's loss and return in simulated time. Long, so not part of the suite:
+//! `BURLHATCH_SAMPLES=FILE cargo test --release --test rules measure_zones -- --ignored`, then
+//! `cargo run -p burlhatch-testbed -- report FILE PAGE`.
+
+use super::world::{MS, S, Size, World};
+use super::{assert_clean, keeping_idle_machines};
+use burlhatch::protocol::user::{JobState, Kind};
+use burlhatch::settings::{Policy, ZoneSettings};
+use burlhatch::units::JobId;
+use burlhatch_testbed::report::Sample;
+use std::collections::BTreeMap;
+use std::io::Write;
+
+const SERVICES: u64 = 30;
+const CUT: u64 = 60 * S;
+const RUN: u64 = 150 * S;
+const WAVE: u64 = 5 * S;
+
+fn fleet(machines: usize) -> Size {
+    Size { nodes: 5, machines, capacity: machines * 13 / 10, write_rps: 50.0, zones: &["a", "b", "c"] }
+}
+
+fn variants() -> Vec<(&'static str, ZoneSettings)> {
+    let on = ZoneSettings { enabled: true, ..ZoneSettings::default() };
+    vec![
+        ("off", ZoneSettings::default()),
+        ("on", on.clone()),
+        ("without order", ZoneSettings { restore_for_ms: 0, ..on.clone() }),
+        ("without ramp", ZoneSettings { ramp_initial: 1_000_000, ramp_full: 1_000_000, ..on.clone() }),
+        ("without damping", ZoneSettings { penalty_per_loss: 0.0, ..on.clone() }),
+        ("without evacuation", ZoneSettings { evacuate: false, ..on }),
+    ]
+}
+
+/// One run: services at work everywhere, batch work in waves, a zone cut off for a minute.
+struct Run {
+    world: World,
+    machines: usize,
+    services: Vec<JobId>,
+    batches: Vec<JobId>,
+    next_wave: u64,
+}
+
+impl Run {
+    fn new(seed: u64, machines: usize, zones: ZoneSettings) -> Run {
+        let policy = Policy { zones, ..keeping_idle_machines() };
+        let mut world = World::sized(seed, policy, fleet(machines));
+        world.cloud.never_up = 0;
+        let replicas = (machines as u64 / SERVICES).max(2) as u32;
+        let mut spec = World::spec(Kind::Service, "green", replicas, 1.0);
+        spec.spread = true;
+        let services = (0..SERVICES).map(|n| world.submit(1 + n, spec.clone())).collect();
+        let next_wave = world.now + 10 * S;
+        Run { world, machines, services, batches: Vec::new(), next_wave }
+    }
+
+    fn step(&mut self) {
+        if self.world.now >= self.next_wave {
+            self.next_wave += WAVE;
+            for _ in 0..10 {
+                let number = 1000 + self.batches.len() as u64;
+                let mut spec = World::spec(Kind::Array, "green", (self.machines / 20) as u32, 1.0);
+                spec.estimate_s = 20.0;
+                spec.image = format!("batch-{}", number % 7);
+                let id = self.world.submit(number, spec);
+                self.batches.push(id);
+            }
+        }
+        self.world.run_for(250 * MS);
+    }
+
+    fn replicas_outside(&self, zone: &str) -> BTreeMap<JobId, usize> {
+        let mut counts = BTreeMap::new();
+        for worker in self.world.workers.values().filter(|worker| worker.zone != zone) {
+            for (job, _) in worker.tasks.keys() {
+                *counts.entry(job.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    fn measure(mut self, note: &mut dyn FnMut(&str, Option<u64>)) {
+        while self.world.now < 45 * S {
+            self.step();
+        }
+        self.world.cut_zone("a", CUT, true);
+        let (began, starts) = (self.world.now, self.world.started);
+        let whole = self.world.jobs[&self.services[0]].spec.tasks as usize;
+        let mut restored: BTreeMap<JobId, u64> = BTreeMap::new();
+        let (mut fetch_queue, mut most_changes, mut second) = (0, 0, (began, self.world.changes()));
+        while self.world.now < began + RUN {
+            self.step();
+            let span = self.world.now - began;
+            if span <= CUT && restored.len() < self.services.len() {
+                let outside = self.replicas_outside("a");
+                for id in self.services.iter().filter(|id| outside.get(id) == Some(&whole)) {
+                    restored.entry(id.clone()).or_insert(span);
+                }
+            }
+            fetch_queue = fetch_queue.max(self.world.longest_fetch_queue());
+            if self.world.now >= second.0 + S {
+                most_changes = most_changes.max(self.world.changes() - second.1);
+                second = (self.world.now, self.world.changes());
+            }
+        }
+        assert_clean(&self.world, "measured");
+        for id in &self.services {
+            note("service whole outside the zone, ms after the cut", restored.get(id).map(|span| span / MS));
+        }
+        let done = self.batches.iter().filter(|id| self.world.jobs[*id].told == Some(JobState::Done)).count();
+        note("batch jobs done by the end", Some(done as u64));
+        note("starts after the cut", Some(self.world.started - starts));
+        note("longest fetch queue of a machine, images", Some(fetch_queue as u64));
+        note("most changes in a second, of 50", Some(most_changes));
+    }
+}
+
+#[test]
+#[ignore = "a measurement: takes minutes to hours"]
+fn measure_zones() {
+    let number = |name: &str, usual: u64| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual);
+    let path = std::env::var("BURLHATCH_SAMPLES").expect("BURLHATCH_SAMPLES names a file");
+    let machines = number("BURLHATCH_MACHINES", 60) as usize;
+    let first = number("BURLHATCH_FIRST_SEED", 0);
+    let only = std::env::var("BURLHATCH_VARIANT").ok();
+    let mut file = std::fs::File::options().append(true).create(true).open(path).expect("the file");
+    for seed in first..first + number("BURLHATCH_SEEDS", 20) {
+        for (variant, zones) in
+            variants().into_iter().filter(|(name, _)| only.as_deref().is_none_or(|only| only == *name))
+        {
+            let mut samples = Vec::new();
+            Run::new(200_000 + seed, machines, zones).measure(&mut |figure, value| {
+                samples.push(Sample {
+                    figure: figure.into(),
+                    scenario: format!("{machines} machines, a third cut off for 60 s"),
+                    variant: variant.into(),
+                    seed,
+                    value,
+                });
+            });
+            for sample in samples {
+                writeln!(file, "{}", serde_json::to_string(&sample).expect("plain data")).expect("written");
+            }
+        }
+    }
+}
