--- a/src/coordination/capacity.rs
+++ b/src/coordination/capacity.rs
@@ -22,9 +22,7 @@
 impl Slot {
     /// Whether a job may run there, wherever its other tasks are.
     fn is_allowed_for(&self, spec: &JobSpec) -> bool {
-        spec.types.as_ref().is_none_or(|types| types.contains(&self.machine_type))
-            && spec.zone.as_ref().is_none_or(|zone| *zone == self.zone)
-            && (spec.spot || !self.spot)
+        spec.allows(&self.machine_type, &self.zone, self.spot)
     }
 }
 
--- a/src/coordination/evacuation.rs
+++ b/src/coordination/evacuation.rs
@@ -7,7 +7,7 @@
 use super::Core;
 use super::capacity::count_in;
 use super::jobs::Job;
-use super::placement::Spot;
+use super::share_view::Spot;
 use crate::bookkeeping::schema::{Hold, Role};
 use crate::protocol::user::Kind;
 use crate::units::{JobId, MachineId, Micros, Room};
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -31,6 +31,8 @@
 mod rentals;
 mod reports;
 mod roles;
+mod scheduling_order;
+mod share_view;
 mod stages;
 mod submissions;
 mod tidying;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -4,13 +4,13 @@
 use super::Core;
 use super::jobs::Job;
 use super::machines::Machine;
+use super::share_view::{ShareView, Spot};
 use super::usage::{Phase, Start};
 use super::zones::ZoneStart;
 use crate::bookkeeping::schema::Role;
-use crate::protocol::user::{JobSpec, Kind, Priority};
+use crate::protocol::user::Kind;
 use crate::units::{JobId, MachineId, Micros, Room};
-use burlhatch_zones::fetches::FetchQueues;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 /// A machine that could take the task, seen through the prediction.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,102 +43,12 @@
     }
 }
 
-/// A machine of one share as this round sees it.
-pub(super) struct Spot {
-    pub id: MachineId,
-    machine_type: String,
-    pub zone: String,
-    spot: bool,
-    pub free: Room,
-    /// Part of it that batch work leaves to the services that may come next.
-    reserved: Room,
-    session: u64,
-    pub failed_here: Vec<JobId>,
-    /// Its zone came back a short while ago and gets work step by step.
-    is_returning: bool,
-    /// Images that wait to be fetched there; counted only while fetches are limited.
-    fetches: u32,
-}
-
-/// The machines of one share that take work, as one pass over the jobs sees them.
-struct ShareView {
-    spots: Vec<Spot>,
-    /// Fetches in each zone, while they are limited.
-    fetch_queues: Option<FetchQueues>,
-    /// Zones that have failed too often lately.
-    distrusted: BTreeSet<String>,
-}
-
-impl ShareView {
-    /// What placing a task changes, so that a gang that does not fit leaves nothing behind.
-    fn save(&self) -> SavedView {
-        let spots = self.spots.iter().map(|spot| (spot.free, spot.fetches)).collect();
-        SavedView { spots, fetch_queues: self.fetch_queues.clone() }
-    }
-
-    fn restore(&mut self, saved: SavedView) {
-        for (spot, (free, fetches)) in self.spots.iter_mut().zip(saved.spots) {
-            (spot.free, spot.fetches) = (free, fetches);
-        }
-        self.fetch_queues = saved.fetch_queues;
-    }
-}
-
-struct SavedView {
-    spots: Vec<(Room, u32)>,
-    fetch_queues: Option<FetchQueues>,
-}
-
 /// One pass over the jobs keeps these from job to job.
 #[derive(Default)]
 struct Field {
     shares: HashMap<u32, ShareView>,
 }
 
-impl Spot {
-    /// Room that nothing is kept free of.
-    pub fn unreserved(&self) -> Room {
-        self.free.minus(&self.reserved)
-    }
-
-    /// Keeps room free of batch work.
-    pub fn reserve(&mut self, room: &Room) {
-        self.reserved = self.reserved.plus(room);
-    }
-
-    /// Forgets all that was to be kept free.
-    pub fn clear_reserved(&mut self) {
-        self.reserved = Room::default();
-    }
-
-    fn takes(&self, job: &Job) -> bool {
-        if job.spec.priority > Priority::Normal {
-            return job.room.fits_in(&self.free);
-        }
-        job.room.fits_in(&self.unreserved())
-    }
-}
-
-/// What a job's own conditions allow for one more task, given where its others are.
-pub(super) struct Allowance<'a> {
-    spec: &'a JobSpec,
-    zone: Option<&'a str>,
-    pub per_zone: BTreeMap<String, u32>,
-}
-
-impl Allowance<'_> {
-    /// Whether it may go to a machine.
-    pub fn allows(&self, s: &Spot) -> bool {
-        let spec = self.spec;
-        spec.types.as_ref().is_none_or(|t| t.contains(&s.machine_type))
-            && spec.zone.as_ref().is_none_or(|z| *z == s.zone)
-            && (spec.spot || !s.spot)
-            && self.zone.is_none_or(|z| z == s.zone)
-            && (!spec.one_zone || self.per_zone.keys().all(|z| *z == s.zone))
-            && (!spec.spread || self.per_zone.get(&s.zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2))
-    }
-}
-
 /// Where a job's next tasks may go, besides its own conditions.
 #[derive(Clone, Copy)]
 struct Search<'a> {
@@ -152,9 +62,9 @@
 }
 
 /// An image that a machine has still to fetch.
-struct PendingFetch<'a> {
-    image: &'a str,
-    megabytes: f64,
+pub(super) struct PendingFetch<'a> {
+    pub image: &'a str,
+    pub megabytes: f64,
 }
 
 /// Machines that could take the next task of a job, kept from task to task: placing one changes the
@@ -202,154 +112,6 @@
         }
     }
 
-    /// When it is a job's turn among those of its priority: its deadline if it has one, else its
-    /// submission, put off the more the more work is left. With more asked than can be done, pure
-    /// order of submission makes all late; this way the small ones are on time, and as the time of
-    /// submission counts too, no large one waits for ever.
-    fn scheduling_time(&self, job: &Job) -> Micros {
-        if let Some(due) = job.urgency.due {
-            return due;
-        }
-        let left = f64::from(job.spec.tasks.saturating_sub(job.done)) * job.spec.cpus * job.spec.estimate_s;
-        job.ready + self.put_off(left)
-    }
-
-    /// How long a job lets others go first, by the cpu-seconds it still needs: much for each at first, little for each
-    /// beyond the limit. One limit for all would let a huge array of short tasks wait for every larger one before it.
-    fn put_off(&self, cpu_seconds: f64) -> Micros {
-        let policy = &self.policy;
-        let most = Micros::from_millis(policy.wait_most_ms);
-        let each_s = policy.wait_per_cpu_second_ms as f64 / 1e3;
-        let first = Micros::from_secs_f64(cpu_seconds * each_s);
-        if first <= most {
-            return first;
-        }
-        let beyond = cpu_seconds - most.secs() / each_s;
-        let further = Micros::from_secs_f64(beyond * policy.wait_large_per_cpu_second_us as f64 / 1e6);
-        most + further.min(Micros::from_millis(policy.wait_large_most_ms))
-    }
-
-    /// Whether no task of it was ever started though it was accepted long ago. The largest jobs
-    /// would wait without end behind small ones that keep coming.
-    fn is_overdue(&self, job: &Job) -> bool {
-        let patience = Micros::from_millis(self.policy.begin_within_ms);
-        job.fresh_from == 0 && self.clock.wall.since(job.ready) >= patience
-    }
-
-    /// Jobs of our shares that wait for a place: by priority, then those that should have begun long
-    /// ago, then those within their team's guarantee, then by turn.
-    fn waiting_in_order(&self) -> Vec<JobId> {
-        let mut waiting: Vec<_> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.recorded && !j.locked && j.waiting() > 0 && self.held(Role::Share(j.share)).is_some())
-            .map(|(id, job)| {
-                let (overdue, within) = (self.is_overdue(job), self.within_guarantee(job));
-                (
-                    (std::cmp::Reverse(job.urgency.priority), !overdue, !within, self.scheduling_time(job), job.ready),
-                    id.clone(),
-                )
-            })
-            .collect();
-        waiting.sort();
-        let waiting: Vec<JobId> = waiting.into_iter().map(|(_, id)| id).collect();
-        if self.is_restoring() { self.in_restoration_order(&waiting) } else { waiting }
-    }
-
-    pub(super) fn within_guarantee(&self, job: &Job) -> bool {
-        let Some(team) = job.spec.team.as_ref().and_then(|name| self.platform.deployment.team(name)) else {
-            return false;
-        };
-        let guaranteed = Room::new(team.cpus, team.gpus, 0.0);
-        let used = self.usage.used_by(&team.name).plus(&job.room);
-        used.cpus <= guaranteed.cpus && used.gpus <= guaranteed.gpus
-    }
-
-    /// Keeps room on holders of their images for as many tasks of services as came lately in the time
-    /// that room takes to fall free. A service that finds none waits for a fetch, and batch work
-    /// takes whatever is free.
-    fn reserve(&self, share: u32, spots: &mut [Spot]) {
-        let window = Micros::from_millis(self.policy.reserve_window_ms);
-        let part = self.policy.reserve_ms as f64 / self.policy.reserve_window_ms as f64;
-        let mut wanted: BTreeMap<&str, (f64, Room)> = BTreeMap::new();
-        for job in self.jobs.values().filter(|j| j.share == share && j.spec.kind == Kind::Service) {
-            if self.clock.wall.since(job.accepted) < window {
-                let entry = wanted.entry(&job.spec.image).or_default();
-                *entry = (entry.0 + f64::from(job.spec.tasks) * part, job.room);
-            }
-        }
-        for (image, (tasks, room)) in wanted {
-            let mut left = tasks.round() as u32;
-            for spot in spots.iter_mut() {
-                if left == 0 {
-                    break;
-                }
-                let with_it = spot.reserved.plus(&room);
-                if with_it.fits_in(&spot.free) && self.machines.get(&spot.id).is_some_and(|m| m.holds(image)) {
-                    spot.reserved = with_it;
-                    left -= 1;
-                }
-            }
-        }
-    }
-
-    /// Machines of a share that take work now.
-    pub(super) fn spots_of(&self, share: u32) -> Vec<Spot> {
-        let now = self.now();
-        let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 1.7);
-        let pause = Micros::from_millis(self.policy.retry_max_ms);
-        let unreported = self.unreported_span();
-        let mut spots: Vec<Spot> = self
-            .replica
-            .machines
-            .iter()
-            .filter(|(_, r)| r.value.share == share && r.value.hold.is_none())
-            .filter(|(id, r)| !self.is_cleared(id) && self.zone_takes_work(&r.value.zone))
-            .filter_map(|(id, record)| {
-                let machine = self.machines.get(id)?;
-                let heard = now.since(machine.heard) <= recent && !machine.is_unreported(now, unreported);
-                if !machine.term_confirmed || machine.notice || !heard || !machine.trusted() {
-                    return None;
-                }
-                Some(Spot {
-                    id: id.clone(),
-                    machine_type: record.value.machine_type.clone(),
-                    zone: record.value.zone.clone(),
-                    spot: record.value.spot,
-                    free: self.free_room(id),
-                    reserved: Room::default(),
-                    session: machine.session,
-                    failed_here: machine.failed_jobs(now, pause).cloned().collect(),
-                    is_returning: self.zone_is_returning(&record.value.zone),
-                    fetches: 0,
-                })
-            })
-            .collect();
-        self.reserve(share, &mut spots);
-        spots
-    }
-
-    fn view_of(&mut self, share: u32) -> ShareView {
-        let mut spots = self.spots_of(share);
-        if !self.judges_zones() {
-            return ShareView { spots, fetch_queues: None, distrusted: BTreeSet::new() };
-        }
-        self.reserve_displaced(share, &mut spots);
-        let fetch_queues = self.is_restoring().then(|| self.count_fetches(&mut spots));
-        let distrusted = self.distrusted_zones(&spots);
-        ShareView { spots, fetch_queues, distrusted }
-    }
-
-    fn count_fetches(&self, spots: &mut [Spot]) -> FetchQueues {
-        let mut queues = FetchQueues::default();
-        for spot in spots {
-            spot.fetches =
-                self.machines.get(&spot.id).map_or(0, |m| self.pending_fetches(&spot.id, m, 0.0).len() as u32);
-            queues.add(&spot.zone, spot.fetches);
-        }
-        queues
-    }
-
     fn place_job(&mut self, id: &JobId, field: &mut Field) {
         let Some(job) = self.jobs.get(id) else { return };
         let share = job.share;
@@ -466,28 +228,6 @@
         (limit.cpus == 0 || next.cpus <= limit.cpus) && (limit.gpus == 0 || next.gpus <= limit.gpus)
     }
 
-    /// Machines that the job's own conditions allow for one more task.
-    pub(super) fn allowance<'a>(&self, job: &'a Job, zone: Option<&'a str>) -> Allowance<'a> {
-        let spec = &*job.spec;
-        let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
-        if spec.one_zone || spec.spread {
-            // Every start in the stored records counts, also those saving or out of reach.
-            for live in job.live.values().filter(|l| l.occupies()) {
-                if let Some(record) = self.replica.machines.get(live.machine()) {
-                    *per_zone.entry(record.value.zone.clone()).or_default() += 1;
-                }
-            }
-        }
-        Allowance { spec, zone, per_zone }
-    }
-
-    /// The same for a task whose job's others may be in lost zones, from which they are to go.
-    pub(super) fn allowance_beyond_lost_zones<'a>(&self, job: &'a Job) -> Allowance<'a> {
-        let mut allowance = self.allowance(job, None);
-        allowance.per_zone.retain(|zone, _| self.zone_takes_work(zone));
-        allowance
-    }
-
     fn choices(&self, id: &JobId, job: &Job, view: &ShareView, search: Search) -> Choices {
         let allowance = self.allowance(job, search.zone);
         let mut choices = Choices { at: Vec::new(), candidates: Vec::new() };
@@ -505,23 +245,6 @@
         choices
     }
 
-    /// Whether a zone that returns takes one more start, and a machine one more fetch while these are limited.
-    fn is_admitted(&self, job: &Job, spot: &Spot, view: &ShareView) -> bool {
-        if spot.is_returning && !self.zone_admits_start(&spot.zone) {
-            return false;
-        }
-        let Some(queues) = &view.fetch_queues else { return true };
-        !self.adds_fetch(job, spot) || queues.admits(&spot.zone, spot.fetches, &self.policy.zones)
-    }
-
-    /// Whether a task started there would have one more image fetched.
-    fn adds_fetch(&self, job: &Job, spot: &Spot) -> bool {
-        let image = job.spec.image.as_str();
-        let Some(machine) = self.machines.get(&spot.id) else { return true };
-        let is_pending = || self.pending_fetches(&spot.id, machine, 0.0).iter().any(|fetch| fetch.image == image);
-        !machine.holds(image) && !is_pending()
-    }
-
     /// After a task was placed: its machine has less room, and the job's own conditions may have
     /// closed a zone.
     fn choose_again(&self, id: &JobId, view: &ShareView, choices: &mut Choices, chosen: usize, search: Search) {
@@ -544,13 +267,6 @@
         }
     }
 
-    /// Whether a whole zone takes no more starts, or no more fetches, in this pass.
-    fn is_zone_exhausted(&self, spot: &Spot, view: &ShareView) -> bool {
-        let no_starts = spot.is_returning && !self.zone_admits_start(&spot.zone);
-        let no_fetches = || view.fetch_queues.as_ref().is_some_and(|q| !q.zone_admits(&spot.zone, &self.policy.zones));
-        no_starts || no_fetches()
-    }
-
     fn chosen(&self, job: &Job, choices: &Choices) -> Option<usize> {
         let now = self.clock.wall;
         let slack = match job.urgency.due {
@@ -587,7 +303,12 @@
     }
 
     /// Images that a machine has still to fetch, in order, with what is left of each at that rate in MB a second.
-    fn pending_fetches<'a>(&'a self, id: &MachineId, machine: &'a Machine, rate: f64) -> Vec<PendingFetch<'a>> {
+    pub(super) fn pending_fetches<'a>(
+        &'a self,
+        id: &MachineId,
+        machine: &'a Machine,
+        rate: f64,
+    ) -> Vec<PendingFetch<'a>> {
         let now = self.now();
         let mut pending: Vec<PendingFetch> = Vec::new();
         for fetch in &machine.fetches {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -3,7 +3,7 @@
 
 use super::Core;
 use super::jobs::Job;
-use super::placement::Spot;
+use super::share_view::Spot;
 use super::usage::Start;
 use crate::protocol::user::{Kind, Priority};
 use crate::units::{JobId, Micros, Room};
--- a/src/coordination/rebalancing.rs
+++ b/src/coordination/rebalancing.rs
@@ -7,7 +7,7 @@
 
 use super::Core;
 use super::jobs::Job;
-use super::placement::Spot;
+use super::share_view::Spot;
 use super::usage::Phase;
 use super::zones::MovingReplica;
 use crate::bookkeeping::schema::Role;
--- /dev/null
+++ b/src/coordination/share_view.rs
@@ -0,0 +1,231 @@
+//! The machines of a share that take work, with what is kept free on them and what a job's conditions allow.
+
+use super::Core;
+use super::jobs::Job;
+use crate::protocol::user::{JobSpec, Kind, Priority};
+use crate::units::{JobId, MachineId, Micros, Room};
+use burlhatch_zones::fetches::FetchQueues;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A machine of one share as this round sees it.
+pub(super) struct Spot {
+    pub id: MachineId,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Room,
+    /// Part of it that batch work leaves to the services that may come next.
+    reserved: Room,
+    pub session: u64,
+    pub failed_here: Vec<JobId>,
+    /// Its zone came back a short while ago and gets work step by step.
+    pub is_returning: bool,
+    /// Images that wait to be fetched there; counted only while fetches are limited.
+    pub fetches: u32,
+}
+
+impl Spot {
+    /// Room that nothing is kept free of.
+    pub fn unreserved(&self) -> Room {
+        self.free.minus(&self.reserved)
+    }
+
+    /// Keeps room free of batch work.
+    pub fn reserve(&mut self, room: &Room) {
+        self.reserved = self.reserved.plus(room);
+    }
+
+    /// Forgets all that was to be kept free.
+    pub fn clear_reserved(&mut self) {
+        self.reserved = Room::default();
+    }
+
+    /// Whether a task of a job has room there.
+    pub fn takes(&self, job: &Job) -> bool {
+        if job.spec.priority > Priority::Normal {
+            return job.room.fits_in(&self.free);
+        }
+        job.room.fits_in(&self.unreserved())
+    }
+}
+
+/// The machines of one share that take work, as one pass over the jobs sees them.
+pub(super) struct ShareView {
+    pub spots: Vec<Spot>,
+    /// Fetches in each zone, while they are limited.
+    pub fetch_queues: Option<FetchQueues>,
+    /// Zones that have failed too often lately.
+    pub distrusted: BTreeSet<String>,
+}
+
+impl ShareView {
+    /// What placing a task changes, so that a gang that does not fit leaves nothing behind.
+    pub fn save(&self) -> SavedView {
+        let spots = self.spots.iter().map(|spot| (spot.free, spot.fetches)).collect();
+        SavedView { spots, fetch_queues: self.fetch_queues.clone() }
+    }
+
+    pub fn restore(&mut self, saved: SavedView) {
+        for (spot, (free, fetches)) in self.spots.iter_mut().zip(saved.spots) {
+            (spot.free, spot.fetches) = (free, fetches);
+        }
+        self.fetch_queues = saved.fetch_queues;
+    }
+}
+
+/// What placing a task changes of a [`ShareView`].
+pub(super) struct SavedView {
+    spots: Vec<(Room, u32)>,
+    fetch_queues: Option<FetchQueues>,
+}
+
+/// What a job's own conditions allow for one more task, given where its others are.
+pub(super) struct Allowance<'a> {
+    spec: &'a JobSpec,
+    zone: Option<&'a str>,
+    pub per_zone: BTreeMap<String, u32>,
+}
+
+impl Allowance<'_> {
+    /// Whether it may go to a machine.
+    pub fn allows(&self, s: &Spot) -> bool {
+        let spec = self.spec;
+        spec.allows(&s.machine_type, &s.zone, s.spot)
+            && self.zone.is_none_or(|z| z == s.zone)
+            && (!spec.one_zone || self.per_zone.keys().all(|z| *z == s.zone))
+            && (!spec.spread || self.per_zone.get(&s.zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2))
+    }
+}
+
+impl Core {
+    /// Keeps room on holders of their images for as many tasks of services as came lately in the time
+    /// that room takes to fall free. A service that finds none waits for a fetch, and batch work
+    /// takes whatever is free.
+    fn reserve(&self, share: u32, spots: &mut [Spot]) {
+        let window = Micros::from_millis(self.policy.reserve_window_ms);
+        let part = self.policy.reserve_ms as f64 / self.policy.reserve_window_ms as f64;
+        let mut wanted: BTreeMap<&str, (f64, Room)> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| j.share == share && j.spec.kind == Kind::Service) {
+            if self.clock.wall.since(job.accepted) < window {
+                let entry = wanted.entry(&job.spec.image).or_default();
+                *entry = (entry.0 + f64::from(job.spec.tasks) * part, job.room);
+            }
+        }
+        for (image, (tasks, room)) in wanted {
+            let mut left = tasks.round() as u32;
+            for spot in spots.iter_mut() {
+                if left == 0 {
+                    break;
+                }
+                let with_it = spot.reserved.plus(&room);
+                if with_it.fits_in(&spot.free) && self.machines.get(&spot.id).is_some_and(|m| m.holds(image)) {
+                    spot.reserved = with_it;
+                    left -= 1;
+                }
+            }
+        }
+    }
+
+    /// Machines of a share that take work now.
+    pub(super) fn spots_of(&self, share: u32) -> Vec<Spot> {
+        let now = self.now();
+        let recent = Micros::from_secs_f64(self.platform.deployment.workers.report_s * 1.7);
+        let pause = Micros::from_millis(self.policy.retry_max_ms);
+        let unreported = self.unreported_span();
+        let mut spots: Vec<Spot> = self
+            .replica
+            .machines
+            .iter()
+            .filter(|(_, r)| r.value.share == share && r.value.hold.is_none())
+            .filter(|(id, r)| !self.is_cleared(id) && self.zone_takes_work(&r.value.zone))
+            .filter_map(|(id, record)| {
+                let machine = self.machines.get(id)?;
+                let heard = now.since(machine.heard) <= recent && !machine.is_unreported(now, unreported);
+                if !machine.term_confirmed || machine.notice || !heard || !machine.trusted() {
+                    return None;
+                }
+                Some(Spot {
+                    id: id.clone(),
+                    machine_type: record.value.machine_type.clone(),
+                    zone: record.value.zone.clone(),
+                    spot: record.value.spot,
+                    free: self.free_room(id),
+                    reserved: Room::default(),
+                    session: machine.session,
+                    failed_here: machine.failed_jobs(now, pause).cloned().collect(),
+                    is_returning: self.zone_is_returning(&record.value.zone),
+                    fetches: 0,
+                })
+            })
+            .collect();
+        self.reserve(share, &mut spots);
+        spots
+    }
+
+    pub(super) fn view_of(&mut self, share: u32) -> ShareView {
+        let mut spots = self.spots_of(share);
+        if !self.judges_zones() {
+            return ShareView { spots, fetch_queues: None, distrusted: BTreeSet::new() };
+        }
+        self.reserve_displaced(share, &mut spots);
+        let fetch_queues = self.is_restoring().then(|| self.count_fetches(&mut spots));
+        let distrusted = self.distrusted_zones(&spots);
+        ShareView { spots, fetch_queues, distrusted }
+    }
+
+    fn count_fetches(&self, spots: &mut [Spot]) -> FetchQueues {
+        let mut queues = FetchQueues::default();
+        for spot in spots {
+            spot.fetches =
+                self.machines.get(&spot.id).map_or(0, |m| self.pending_fetches(&spot.id, m, 0.0).len() as u32);
+            queues.add(&spot.zone, spot.fetches);
+        }
+        queues
+    }
+
+    /// Machines that the job's own conditions allow for one more task.
+    pub(super) fn allowance<'a>(&self, job: &'a Job, zone: Option<&'a str>) -> Allowance<'a> {
+        let spec = &*job.spec;
+        let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
+        if spec.one_zone || spec.spread {
+            // Every start in the stored records counts, also those saving or out of reach.
+            for live in job.live.values().filter(|l| l.occupies()) {
+                if let Some(record) = self.replica.machines.get(live.machine()) {
+                    *per_zone.entry(record.value.zone.clone()).or_default() += 1;
+                }
+            }
+        }
+        Allowance { spec, zone, per_zone }
+    }
+
+    /// The same for a task whose job's others may be in lost zones, from which they are to go.
+    pub(super) fn allowance_beyond_lost_zones<'a>(&self, job: &'a Job) -> Allowance<'a> {
+        let mut allowance = self.allowance(job, None);
+        allowance.per_zone.retain(|zone, _| self.zone_takes_work(zone));
+        allowance
+    }
+
+    /// Whether a zone that returns takes one more start, and a machine one more fetch while these are limited.
+    pub(super) fn is_admitted(&self, job: &Job, spot: &Spot, view: &ShareView) -> bool {
+        if spot.is_returning && !self.zone_admits_start(&spot.zone) {
+            return false;
+        }
+        let Some(queues) = &view.fetch_queues else { return true };
+        !self.adds_fetch(job, spot) || queues.admits(&spot.zone, spot.fetches, &self.policy.zones)
+    }
+
+    /// Whether a task started there would have one more image fetched.
+    pub(super) fn adds_fetch(&self, job: &Job, spot: &Spot) -> bool {
+        let image = job.spec.image.as_str();
+        let Some(machine) = self.machines.get(&spot.id) else { return true };
+        let is_pending = || self.pending_fetches(&spot.id, machine, 0.0).iter().any(|fetch| fetch.image == image);
+        !machine.holds(image) && !is_pending()
+    }
+
+    /// Whether a whole zone takes no more starts, or no more fetches, in this pass.
+    pub(super) fn is_zone_exhausted(&self, spot: &Spot, view: &ShareView) -> bool {
+        let no_starts = spot.is_returning && !self.zone_admits_start(&spot.zone);
+        let no_fetches = || view.fetch_queues.as_ref().is_some_and(|q| !q.zone_admits(&spot.zone, &self.policy.zones));
+        no_starts || no_fetches()
+    }
+}
--- a/src/coordination/zones.rs
+++ b/src/coordination/zones.rs
@@ -6,7 +6,7 @@
 //! [`super::capacity`] and [`super::rentals`] plan around lost zones, [`super::evacuation`] proves tasks gone.
 
 use super::Core;
-use super::placement::Spot;
+use super::share_view::Spot;
 use super::txns::{Draft, Purpose};
 use super::usage::Start;
 use crate::bookkeeping::schema::{Key, Role, is_zone_storable, to_value};
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -119,6 +119,13 @@
         Room::new(self.cpus, self.gpus, self.memory_gb)
     }
 
+    /// Whether a machine of that type, zone and kind is allowed, wherever the job's other tasks are.
+    pub fn allows(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
+        self.types.as_ref().is_none_or(|types| types.iter().any(|allowed| allowed == machine_type))
+            && self.zone.as_ref().is_none_or(|allowed| allowed == zone)
+            && (self.spot || !spot)
+    }
+
     /// The owner's estimate of a task's run time.
     pub fn estimate(&self) -> Micros {
         Micros::from_secs_f64(self.estimate_s)
