--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -364,9 +364,11 @@
         let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&worker.machine_type))
             && spec.zone.as_ref().is_none_or(|z| *z == worker.zone)
             && (spec.spot || !worker.spot);
-        // Where the job's other tasks are at this moment.
+        // Where the job's other tasks are at this moment, if that binds it: with thousands of machines a walk for each
+        // start would take most of the run.
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-        for (other, w) in &self.workers {
+        let bound = spec.spread || spec.one_zone;
+        for (other, w) in self.workers.iter().filter(|_| bound) {
             for k in w.tasks.keys().filter(|k| k.0 == key.0 && (*k != key || other == id)) {
                 if w.on_machine(k) || (other == id && k == key) {
                     *zones.entry(&w.zone).or_default() += 1;
@@ -379,7 +381,9 @@
         if !(allowed && spread && together) {
             found.push(format!("wrong_place: {}/{} on {id} in {}: {zones:?}", key.0, key.1, worker.zone));
         }
-        if let Some(team) = &spec.team {
+        if let Some(team) = &spec.team
+            && limit_of(team).is_finite()
+        {
             let limit = limit_of(team);
             let mut used = 0.0;
             for w in self.workers.values() {
--- a/tests/rules/zones.rs
+++ b/tests/rules/zones.rs
@@ -264,7 +264,8 @@
 /// way, and no machine of the zone is deleted for a replica that would find no place.
 #[test]
 fn without_capacity_elsewhere_machines_are_not_given_up_for_nothing() {
-    for seed in seeds(108, 3) {
+    // In world 108005 places were given away twice.
+    for seed in seeds(108, 3).chain([108_005]) {
         let mut world = World::sized(seed, judging_zones(), NINETY);
         world.cloud.never_up = 0;
         world.cloud.capacity = 90;
