--- /dev/null
+++ b/tests/rules/controllers.rs
@@ -0,0 +1,185 @@
+//! Controllers that end, stand still or lose part of the network, and a state service that is away.
+
+use super::world::{MS, Place, S, World};
+use super::{assert_clean, cancel_services, finish, keeping_idle_machines, ordinary_jobs, seeds};
+use burlhatch::coordination::UserAnswer;
+use burlhatch::protocol::user::Kind;
+use burlhatch::units::MachineId;
+
+#[test]
+fn controllers_crash_one_after_the_other_and_all_at_once() {
+    for seed in seeds(1, 4) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 30);
+        for round in 0..8 {
+            world.run_for(7 * S);
+            let node = world.pick(3) as usize;
+            // Sometimes back within a fraction of a second, in the middle of an election.
+            let back = if world.chance(3) { 200 * MS } else { 4 * S };
+            world.crash(node, back);
+            if round == 5 {
+                for node in 0..3 {
+                    world.crash(node, 3 * S + node as u64 * S);
+                }
+            }
+        }
+        finish(&mut world, &format!("crashes {seed}"));
+    }
+}
+
+#[test]
+fn state_outages_and_refusals() {
+    for seed in seeds(2, 3) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 25);
+        world.run_for(10 * S);
+        world.state_outage(15 * S);
+        world.run_for(8 * S);
+        world.crash(0, 2 * S);
+        world.run_for(20 * S);
+        world.refuse_node(1, 12 * S);
+        world.run_for(15 * S);
+        world.state_outage(5 * S);
+        for node in 0..3 {
+            world.crash(node, S);
+        }
+        finish(&mut world, &format!("outages {seed}"));
+    }
+}
+
+#[test]
+fn cuts_of_every_kind_with_late_delivery() {
+    for seed in seeds(3, 8) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 30);
+        for _ in 0..5 {
+            world.run_for(6 * S);
+            let node = world.pick(3) as usize;
+            let hold = !world.chance(3);
+            let span = (2 + world.pick(28)) * S;
+            match world.pick(4) {
+                0 => world.cut(span, hold, move |a, b| *a == Place::Node(node) && *b == Place::State),
+                1 => world.cut(span, hold, move |a, b| *a == Place::Node(node) && matches!(b, Place::Worker(_))),
+                2 => world.cut(span, hold, move |a, b| *a == Place::Node(node) && !matches!(b, Place::Node(_))),
+                _ => {
+                    let nth = world.pick(9) as usize;
+                    if let Some(id) = world.nth_worker(nth) {
+                        let cut_off: MachineId = id;
+                        world.cut(span, hold, move |a, _| *a == Place::Worker(cut_off.clone()));
+                    }
+                }
+            }
+        }
+        finish(&mut world, &format!("cuts {seed}"));
+    }
+}
+
+/// A controller that loses all machines at once must not take them for dead: it leaves its share to
+/// a sibling, and the services run on.
+#[test]
+fn a_controller_cut_off_from_the_machines_deletes_none() {
+    for node in 0..3 {
+        let mut world = World::new(7);
+        for n in 0..6 {
+            let team = ["red", "blue", "green"][n as usize % 3];
+            world.submit(n + 1, World::spec(Kind::Service, team, 2, 1.0));
+        }
+        world.run_for(40 * S);
+        let before: Vec<MachineId> = world.workers.keys().cloned().collect();
+        let started = world.started;
+        world.cut(30 * S, true, move |a, b| *a == Place::Node(node) && matches!(b, Place::Worker(_)));
+        world.run_for(35 * S);
+        assert!(before.iter().filter(|id| !world.workers.contains_key(id)).count() <= 1, "machines were deleted");
+        assert!(world.started <= started + 2, "services were restarted");
+        assert_clean(&world, "cut off");
+    }
+}
+
+/// A controller without state service and siblings keeps its workers company as in an outage until
+/// its successor has reached them; its users hear at once that it can't help, and nothing is lost.
+#[test]
+fn a_controller_alone_with_its_workers_does_no_harm() {
+    for node in 0..3 {
+        let mut world = World::with_policy(30 + node as u64, keeping_idle_machines());
+        let mut ids = Vec::new();
+        for n in 0..9 {
+            let team = ["red", "blue", "green"][n as usize % 3];
+            let kind = if n < 6 { Kind::Service } else { Kind::Array };
+            ids.push(world.submit(n + 1, World::spec(kind, team, 2, 1.0)));
+        }
+        world.run_for(20 * S);
+        let machines: Vec<MachineId> = world.workers.keys().cloned().collect();
+        let started = world.started;
+        world.cut(45 * S, true, move |a, b| *a == Place::Node(node) && *b == Place::State);
+        world.run_for(6 * S);
+        assert_eq!(world.unowned_shares(), 0, "its shares are taken over");
+        let answer = world.ask_at(node, &ids[0]);
+        assert!(matches!(answer, Some(UserAnswer::Unavailable { retry_after_s: 1.. })), "{answer:?}");
+        world.run_for(42 * S);
+        assert!(machines.iter().all(|id| world.workers.contains_key(id)), "machines were deleted");
+        assert!(world.started <= started + 6, "running services were started again");
+        cancel_services(&mut world);
+        finish(&mut world, &format!("alone {node}"));
+    }
+}
+
+/// Back within a fraction of a second, also in the middle of an election: no share stays without an
+/// owner for longer than an election takes.
+#[test]
+fn processes_and_machines_back_within_a_fraction_of_a_second() {
+    for seed in seeds(8, 4) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 30);
+        world.run_for(8 * S);
+        let mut longest = 0;
+        let mut unowned = 0;
+        for step in 0..400 {
+            if step % 25 == 0 {
+                let (node, nth) = (world.pick(3) as usize, world.pick(9) as usize);
+                let back = (50 + world.pick(500)) * MS;
+                world.crash(node, back);
+                world.hang(nth, 300 * MS);
+                // Another falls while the first one's shares may be changing hands.
+                world.crash((node + 1) % 3, back / 2);
+            }
+            if step % 130 == 129 {
+                let nth = world.pick(9) as usize;
+                world.restart_worker(nth);
+            }
+            world.run_for(100 * MS);
+            unowned = if world.unowned_shares() > 0 { unowned + 100 } else { 0 };
+            longest = longest.max(unowned);
+        }
+        assert!(longest <= 6000, "{seed}: a share was without an owner for {longest} ms");
+        finish(&mut world, &format!("fractions {seed}"));
+    }
+}
+
+/// A controller that stands still while its clocks run on wakes to a queue of old news, calls that
+/// all look late and machines that all look silent, perhaps after its shares have gone to others.
+#[test]
+fn a_controller_that_stands_still_wakes_to_old_news() {
+    for (seed, span) in seeds(15, 4).zip([S, 5 * S, 30 * S, 60 * S].into_iter().cycle()) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        world.report_copies = 10;
+        ordinary_jobs(&mut world, 30);
+        world.run_for(20 * S);
+        let leader = world.holder("leader").expect("somebody leads");
+        let machines = world.stored_machines().len();
+        world.freeze(leader, span);
+        if seed % 2 == 1 {
+            // All on their own during an outage: no share changes hands, nobody answers its machines.
+            world.state_outage(span + 3 * S);
+        }
+        world.run_for(span + 4 * S);
+        let owner = world.holder("share/1").expect("owned");
+        world.freeze(owner, span);
+        world.run_for(span / 2);
+        world.freeze((owner + 1) % 3, span);
+        world.run_for(span + 6 * S);
+        assert_eq!(world.unowned_shares(), 0, "freeze {seed}");
+        // What fell silent by its own standstill must not be deleted.
+        assert!(world.stored_machines().len() * 2 > machines, "freeze {seed}: machines deleted");
+        finish(&mut world, &format!("freeze {seed}"));
+    }
+}
--- /dev/null
+++ b/tests/rules/days.rs
@@ -0,0 +1,213 @@
+//! Whole days: quiet ones, overload, everything at once, and fleets.
+
+use super::world::{FLEET, LARGE, MS, Place, S, SMALL, Size, World};
+use super::{assert_clean, finish, keeping_idle_machines, ordinary_jobs, seeds};
+use burlhatch::protocol::user::{JobState, Kind};
+use burlhatch::settings::Policy;
+use burlhatch::units::MachineId;
+use std::collections::BTreeSet;
+
+#[test]
+fn a_quiet_day_gets_everything_done() {
+    let mut world = World::new(1);
+    ordinary_jobs(&mut world, 30);
+    world.run_for(90 * S);
+    finish(&mut world, "quiet");
+    let done = world.jobs.values().filter(|j| j.told == Some(JobState::Done)).count();
+    assert!(done >= 15, "only {done} jobs were done");
+    // Only outcomes, machines and roles stay in the stored records.
+    world.run_for(30 * S);
+    let left: Vec<String> =
+        world.stored_keys().into_iter().filter(|k| k.contains("/run/") || k.contains("/batch/")).collect();
+    assert!(left.is_empty(), "left in the stored records: {left:?}");
+}
+
+#[test]
+fn services_start_within_a_second_on_a_quiet_day() {
+    let mut world = World::new(2);
+    world.run_for(5 * S);
+    let id = world.submit(1, World::spec(Kind::Service, "red", 1, 1.0));
+    world.run_for(3 * S);
+    let running = |world: &World| world.workers.values().filter(|w| w.tasks.keys().any(|k| k.0 == id)).count();
+    assert_eq!(running(&world), 1);
+    if let Some(job) = world.jobs.get_mut(&id) {
+        job.cancel_at = Some(0);
+    }
+    world.run_for(8 * S);
+    assert_eq!(running(&world), 0, "cancelled services are stopped");
+    finish(&mut world, "service");
+}
+
+#[test]
+fn everything_at_once() {
+    for seed in seeds(5, 10) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 35);
+        for _ in 0..10 {
+            world.run_for(5 * S);
+            let nth = world.pick(9) as usize;
+            let node = world.pick(3) as usize;
+            let span = (1 + world.pick(25)) * S;
+            match world.pick(7) {
+                0 => world.crash(node, span.min(6 * S)),
+                // One after the other they may leave an owner blind for longer than cancellations
+                // may take; nobody could keep that rule.
+                1 => world.state_outage(span.min(8 * S)),
+                2 => world.refuse_node(node, span),
+                3 => world.hang(nth, span),
+                4 => world.kill_machine(nth),
+                5 => world.cut(span, true, move |a, b| *a == Place::Node(node) && *b == Place::State),
+                _ => world.cut(span, true, move |a, b| *a == Place::Node(node) && matches!(b, Place::Worker(_))),
+            }
+        }
+        finish(&mut world, &format!("everything {seed}"));
+    }
+}
+
+/// With far more asked than can be done, large jobs begin within four minutes all the same, and of no
+/// team and kind less than half is served.
+#[test]
+fn under_overload_the_largest_jobs_begin_and_no_team_is_left_out() {
+    let mut world = World::new(40);
+    world.cloud.capacity = 8;
+    world.run_for(5 * S);
+    let spec = |team: &str, tasks: u32| {
+        let mut spec = World::spec(Kind::Array, team, tasks, 2.0);
+        spec.estimate_s = 10.0;
+        spec
+    };
+    let mut largest = Vec::new();
+    let mut number = 0;
+    for _ in 0..50 {
+        for team in ["red", "blue", "green"] {
+            number += 1;
+            world.submit(number, spec(team, 4));
+            if number % 60 == 1 {
+                number += 1;
+                largest.push(world.submit(number, spec(team, 60)));
+            }
+        }
+        world.run_for(5 * S);
+    }
+    world.run_for(240 * S);
+    for id in &largest {
+        let job = &world.jobs[id];
+        let waited = job.begun.map(|at| (at - job.submitted) / S);
+        assert!(waited.is_some_and(|s| s <= 240), "{id} began after {waited:?} s");
+    }
+    for team in ["red", "blue", "green"] {
+        let of_team = || world.jobs.values().filter(|j| j.spec.team.as_deref() == Some(team));
+        let begun = of_team().filter(|j| j.begun.is_some()).count();
+        assert!(begun * 2 >= of_team().count(), "{team}: {begun} of {}", of_team().count());
+    }
+    assert_clean(&world, "overload");
+}
+
+/// When the state service takes few changes, what can wait least goes first: services start soon
+/// though arrays have enough to write down for a long time, and arrays are not starved either.
+/// How soon depends on how many machines the services' share has got by then, so it is looked at in
+/// several worlds: in half of them within six seconds, and in no world after more than forty.
+#[test]
+fn urgent_work_gets_by_when_changes_are_short() {
+    let mut soon = 0;
+    for seed in seeds(50, 10) {
+        let size = Size { write_rps: 6.0, capacity: 30, machines: 20, ..SMALL };
+        let mut world = World::sized(seed, Policy::default(), size);
+        world.run_for(10 * S);
+        for n in 0..60 {
+            let mut spec = World::spec(Kind::Array, ["red", "blue", "green"][n as usize % 3], 6, 0.5);
+            spec.estimate_s = 3.0;
+            world.submit(n + 1, spec);
+        }
+        world.run_for(2 * S);
+        let services: Vec<_> =
+            (0..3).map(|n| world.submit(900 + n, World::spec(Kind::Service, "green", 1, 1.0))).collect();
+        let begun = |world: &World| services.iter().all(|id| world.jobs[id].begun.is_some());
+        world.run_for(6 * S);
+        soon += usize::from(begun(&world));
+        world.run_for(34 * S);
+        assert!(begun(&world), "{seed}: services have not begun");
+        for id in &services {
+            world.jobs.get_mut(id).expect("submitted").cancel_at = Some(0);
+        }
+        finish(&mut world, &format!("few changes {seed}"));
+        assert!(world.limited() < 400, "{seed}: refused {} times", world.limited());
+    }
+    assert!(soon >= 5, "soon in {soon} of 10 worlds only");
+}
+
+/// Five controllers, some hundred machines, and all new troubles with a crash of all and an outage.
+#[test]
+fn a_large_world_with_everything() {
+    for seed in seeds(9, 2) {
+        let mut world = World::sized(seed, Policy::default(), LARGE);
+        world.report_copies = 10;
+        ordinary_jobs(&mut world, 120);
+        world.run_for(15 * S);
+        for nth in [3, 60, 110] {
+            world.make_unreachable(nth, 100 * S);
+        }
+        let alone = world.pick(5) as usize;
+        world.cut(20 * S, true, move |a, b| *a == Place::Node(alone) && *b == Place::State);
+        world.run_for(6 * S);
+        for nth in 0..30 {
+            world.hang(nth * 6, 12 * S);
+        }
+        world.run_for(6 * S);
+        world.state_outage(8 * S);
+        for node in 0..5 {
+            world.crash(node, 300 * MS + node as u64 * S);
+        }
+        world.run_for(12 * S);
+        for nth in 0..10 {
+            world.kill_machine(nth * 17);
+        }
+        finish(&mut world, &format!("large {seed}"));
+    }
+}
+
+/// A thousand machines in four zones: a zone cut off with a controller while the leader stands still,
+/// then an outage, an end of all controllers, and a third of the machines dead or hung at once.
+#[test]
+fn a_fleet_with_troubles_in_mass() {
+    let mut world = World::sized(16_000, keeping_idle_machines(), FLEET);
+    ordinary_jobs(&mut world, 150);
+    for n in 0..6 {
+        let mut spec = World::spec(if n < 3 { Kind::Service } else { Kind::Array }, "green", 16, 1.0);
+        if n < 3 {
+            spec.spread = true;
+        } else {
+            spec.tasks = 400;
+        }
+        let id = world.submit(1000 + n, spec);
+        if n < 3 {
+            world.jobs.get_mut(&id).expect("submitted").cancel_at = Some(55 * S);
+        }
+    }
+    world.run_for(14 * S);
+    let inside: BTreeSet<MachineId> =
+        world.workers.iter().filter(|(_, w)| w.zone == "d").map(|(id, _)| id.clone()).collect();
+    let zone = inside.clone();
+    let is_in = move |place: &Place| match place {
+        Place::Node(node) => *node == 3,
+        Place::Worker(id) => zone.contains(id),
+        _ => false,
+    };
+    world.cut(16 * S, true, move |a, b| is_in(a) != is_in(b));
+    world.run_for(4 * S);
+    let leader = world.holder("leader").expect("somebody leads");
+    world.freeze(leader, 5 * S);
+    world.run_for(13 * S);
+    let left = inside.iter().filter(|id| world.workers.contains_key(id)).count();
+    assert!(left * 10 >= inside.len() * 9, "{left} of {} left: a zone cut off was deleted", inside.len());
+    world.state_outage(5 * S);
+    for node in 0..5 {
+        world.crash(node, 200 * MS + node as u64 * 300 * MS);
+    }
+    world.run_for(3 * S);
+    for nth in 0..180 {
+        world.kill_machine(nth * 5);
+        world.hang(nth * 4 + 1, 12 * S);
+    }
+    finish(&mut world, "fleet");
+}
--- /dev/null
+++ b/tests/rules/machines.rs
@@ -0,0 +1,91 @@
+//! Machines that hang, die, fail their tasks, hear nothing, or whose old reports come late.
+
+use super::world::{MS, S, SMALL, Size, World};
+use super::{cancel_services, finish, keeping_idle_machines, ordinary_jobs, seeds};
+use burlhatch::protocol::user::Kind;
+use burlhatch::units::MachineId;
+
+#[test]
+fn machines_hang_die_and_fail() {
+    // In world 4036 a gang, all that is left, met the faulty machine again and again.
+    for seed in seeds(4, 6).chain([4036]) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 30);
+        for round in 0..6 {
+            world.run_for(8 * S);
+            let nth = world.pick(9) as usize;
+            match round % 3 {
+                0 => {
+                    let span = (2 + world.pick(30)) * S;
+                    world.hang(nth, span);
+                }
+                1 => world.kill_machine(nth),
+                _ => world.sicken(nth),
+            }
+        }
+        finish(&mut world, &format!("machines {seed}"));
+    }
+}
+
+/// A machine that can send but not hear is never silent. It has to be found out all the same, get no
+/// further work and be replaced with proof; its tasks run elsewhere, once.
+#[test]
+fn a_machine_that_hears_nothing_is_replaced() {
+    for seed in seeds(6, 4) {
+        let mut world = World::new(seed);
+        ordinary_jobs(&mut world, 30);
+        world.run_for(10 * S);
+        let nth = world.pick(5) as usize;
+        let unreachable = world.make_unreachable(nth, 300 * S).expect("a machine");
+        world.run_for(25 * S);
+        assert!(!world.workers.contains_key(&unreachable), "{seed}: {unreachable} is still there");
+        finish(&mut world, &format!("deaf machine {seed}"));
+    }
+}
+
+/// When nothing reaches any machine, the fault is our own network: deleting them all would make it worse.
+#[test]
+fn many_machines_that_hear_nothing_are_left_alone() {
+    let size = Size { machines: 20, capacity: 24, ..SMALL };
+    let mut world = World::sized(8, keeping_idle_machines(), size);
+    for n in 0..6 {
+        let team = ["red", "blue", "green"][n as usize % 3];
+        world.submit(n + 1, World::spec(Kind::Service, team, 2, 1.0));
+    }
+    world.run_for(30 * S);
+    let before: Vec<MachineId> = world.workers.keys().cloned().collect();
+    for nth in 0..before.len() {
+        world.make_unreachable(nth, 15 * S);
+    }
+    world.run_for(20 * S);
+    let lost = before.iter().filter(|id| !world.workers.contains_key(id)).count();
+    assert!(lost <= 1, "{lost} machines were deleted");
+    cancel_services(&mut world);
+    finish(&mut world, "all deaf");
+}
+
+/// Late copies prove nothing: no ghost of a deleted machine comes into the stored records, no lease is taken
+/// for renewed, no task for absent.
+#[test]
+fn late_copies_of_reports_prove_nothing() {
+    for seed in seeds(7, 6) {
+        let mut world = World::new(seed);
+        world.report_copies = 2;
+        ordinary_jobs(&mut world, 30);
+        for round in 0..6 {
+            world.run_for(6 * S);
+            let (nth, node) = (world.pick(9) as usize, world.pick(3) as usize);
+            match round % 3 {
+                0 => world.kill_machine(nth),
+                1 => world.crash(node, 300 * MS),
+                _ => world.hang(nth, 12 * S),
+            }
+        }
+        finish(&mut world, &format!("copies {seed}"));
+        world.report_copies = 0;
+        world.run_for(100 * S);
+        let ghosts: Vec<MachineId> =
+            world.stored_machines().into_iter().filter(|id| !world.workers.contains_key(id)).collect();
+        assert!(ghosts.is_empty(), "{seed}: in the stored records but not there: {ghosts:?}");
+    }
+}
