Zones: tests of order and of moves one at a time that fail without their guards

Cause: without the order of restoration, and without the checks before a second move, two tests still passed (seen by taking the guards out).

--- a/tests/rules/zones.rs
+++ b/tests/rules/zones.rs
@@ -417,42 +417,37 @@
     }
 }
 
-/// Batch work of the same priority, which came earlier and waits for room, would go before younger services.
+/// Batch work of the same priority that is overdue would go before services. It waits for another job until just before
+/// the zone is lost, and there is more of it than room.
 #[test]
-fn younger_services_go_before_older_batch_work_of_their_priority() {
+fn services_go_before_overdue_batch_work_of_their_priority() {
     for seed in seeds(120, 3) {
         let size = Size { machines: 12, capacity: 12, ..THREE_ZONES };
         let mut world = World::sized(seed, judging_zones(), size);
-        for n in 0..60 {
+        let mut first = World::spec(Kind::Array, "green", 1, 1.0);
+        first.estimate_s = 24.0;
+        let first = world.submit(99, first);
+        for n in 0..80 {
             let mut spec = World::spec(Kind::Array, "green", 4, 1.0);
             spec.estimate_s = 10.0;
             spec.priority = Priority::Production;
             spec.image = "batch".into();
+            spec.deadline_s = Some(0.0);
+            spec.awaits = vec![first.clone()];
             world.submit(100 + n, spec);
         }
-        world.run_for(3 * S);
         let services: Vec<JobId> =
-            (0..9).map(|n| world.submit(1 + n, World::spec(Kind::Service, "green", 1, 1.0))).collect();
-        let everywhere = |world: &World| services.iter().all(|id| world.running(id) == 1);
-        while !everywhere(&world) {
+            (0..18).map(|n| world.submit(1 + n, World::spec(Kind::Service, "green", 1, 1.0))).collect();
+        while world.jobs[&first].told.is_none() {
             world.run_for(S);
-            assert!(world.now < 200 * S, "{seed}: services never began");
+            assert!(world.now < 90 * S, "{seed}: the first job is not done");
         }
-        for n in 0..60 {
-            let mut spec = World::spec(Kind::Array, "green", 4, 1.0);
-            spec.estimate_s = 10.0;
-            spec.priority = Priority::Production;
-            spec.image = "batch".into();
-            let id = world.submit(200 + n, spec);
-            // Due at once, which puts it before services without a deadline.
-            world.jobs.get_mut(&id).expect("submitted").spec.deadline_s = Some(0.0);
-        }
-        world.run_for(3 * S);
+        assert!(services.iter().all(|id| world.running(id) == 1), "{seed}: services are not at work");
         world.cut_zone("a", 60 * S, true);
         let restored = time_to_restore(&mut world, &services, "a", 60 * S);
         assert!(restored.is_some_and(|span| span <= 40 * S), "{seed}: {restored:?}");
         cancel_services(&mut world);
-        finish(&mut world, &format!("younger services {seed}"));
+        finish(&mut world, &format!("overdue batch work {seed}"));
     }
 }
 
@@ -462,7 +457,8 @@
 fn a_zone_on_hold_is_emptied_one_replica_at_a_time() {
     let mut policy = judging_zones();
     policy.zones.moves_per_minute = 60.0;
-    policy.zones.move_pause_ms = 2000;
+    // One job's replicas one right after the other, if only the budget kept them apart.
+    policy.zones.move_pause_ms = 1000;
     policy.zones.hold_wait_ms = 5000;
     let mut world = world_of(113_000, policy);
     let services = submit_services(&mut world, 6);
