Tests on loopback listen at ports that outgoing connections don't get

Its port had been free when it was looked for, and any of the connections that the other tests open may have got it as their own end before the controller listened there; the daemon then ends with an error that the test does not see. Change: addresses for processes come from below the range of outgoing connections, another one each time, in tests/loopback.rs and the testbed. What the tests assert is unchanged.

--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use crate::cloud::Cloud;
 use crate::history::History;
+use crate::http::free_address;
 use crate::state_service::StateService;
 use crate::worker::Surroundings;
 use burlhatch::transport::client::Client;
@@ -9,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -80,10 +81,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 const REPORT_S: f64 = 1.0;
 
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
 impl Cluster {
     /// Starts all services, the machines and the controllers, and waits until all controllers serve.
     pub async fn start(plan: ClusterPlan) -> Result<Cluster, ClusterError> {
--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -9,11 +9,34 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
+/// Ports that no outgoing connection gets from the system: a port that was free a moment ago could be taken as the near
+/// end of some connection before a process listens there.
+const PORTS_FROM: u32 = 20_000;
+const PORTS: u32 = 10_000;
+/// Processes begin their search this far from each other.
+const PORTS_APART: u32 = 97;
+
+/// An address on loopback at which nobody listens, another one each time.
+pub fn free_address() -> io::Result<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_APART);
+    for _ in 0..PORTS {
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], (PORTS_FROM + offset) as u16));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::from(io::ErrorKind::AddrInUse))
+}
+
 /// A request as a handler sees it.
 pub struct Call {
     /// Its method.
@@ -37,7 +60,7 @@
 pub type Reply = Option<(u16, Value)>;
 
 /// Serves requests at a free port until the returned set is dropped; says where.
-pub async fn serve<H, F>(handler: H) -> std::io::Result<(SocketAddr, JoinSet<()>)>
+pub async fn serve<H, F>(handler: H) -> io::Result<(SocketAddr, JoinSet<()>)>
 where
     H: Fn(Call) -> F + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -7,6 +7,7 @@
 use burlhatch::settings::{Platform, Policy};
 use burlhatch::transport::client::{Answer, Client};
 use burlhatch::transport::daemon;
+use burlhatch_testbed::http::free_address;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -196,11 +197,6 @@
     client.call(to, method, path, body, Duration::from_secs(4)).await
 }
 
-fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
 /// Settings of a single controller whose services all answer at one address.
 fn settings(public: SocketAddr, back: SocketAddr, services: SocketAddr, sockets: usize) -> Platform {
     let text = format!(
@@ -217,7 +213,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let services = listener.local_addr().expect("its address");
     tokio::spawn(serve(listener, Arc::default()));
-    let (public, back) = (free_port(), free_port());
+    let free = || free_address().expect("a free port");
+    let (public, back) = (free(), free());
     tokio::spawn(daemon::run(settings(public, back, services, sockets), Policy::default()));
     public
 }
