--- a/tests/rules/cancellations.rs
+++ b/tests/rules/cancellations.rs
@@ -191,3 +191,98 @@
         finish(&mut world, &format!("successor {seed}"));
     }
 }
+
+/// Nobody but one controller hears the workers, and it hears nobody else: not the state service, which gives its share
+/// to a sibling, nor the siblings.
+fn leave_workers_with(world: &mut World, owner: usize, duration: u64) {
+    let mine = move |place: &Place| *place == Place::Node(owner);
+    world.cut(duration, true, move |a, b| match (a, b) {
+        (Place::Worker(_), Place::Node(_)) | (Place::Node(_), Place::Worker(_)) => !mine(a) && !mine(b),
+        _ => mine(a) || mine(b),
+    });
+    world.run_for(6 * S);
+    let mut waited = 0;
+    while world.unowned_shares() > 0 && waited < 2 * S {
+        world.run_for(100 * MS);
+        waited += 100 * MS;
+    }
+    assert_eq!(world.unowned_shares(), 0, "taken over");
+}
+
+/// A share has a new holder that can't reach the machines, and the deposed one, which knows of nothing, goes on renewing
+/// their leases. Users cancel. Then the successors end in an outage of the state service, or the cloud is down: nobody
+/// is left who could delete the machines. A cancellation may only be told once the machines obey who knows of it.
+#[test]
+fn a_deposed_holder_renews_leases_and_nobody_can_delete_the_machines() {
+    for seed in seeds(24, 8) {
+        let mut world = World::sized(seed, keeping_idle_machines(), Size { machines: 8, ..SMALL });
+        let ids = long_jobs(&mut world, 6, 3);
+        world.run_for(25 * S);
+        let owner = world.holder(&format!("share/{}", seed % 3)).expect("owned");
+        leave_workers_with(&mut world, owner, (CANCEL_S + 40) * S);
+        cancel_at(&mut world, &ids, 0);
+        world.run_for(4 * S);
+        if seed % 2 == 0 {
+            world.state_outage((CANCEL_S + 20) * S);
+            for node in (0..3).filter(|node| *node != owner) {
+                world.crash(node, 4 * S);
+            }
+        } else {
+            world.cloud_outage((CANCEL_S + 20) * S);
+        }
+        world.run_for((CANCEL_S + 27) * S);
+        assert_clean(&world, &format!("deposed {seed}"));
+        finish(&mut world, &format!("deposed {seed}"));
+    }
+}
+
+/// Direct commands come late, so machines are in doubt and their shares get one new term after another. A report without
+/// the present term proves nothing, but its answer renews the lease: it has to carry the stops as well. The cloud is
+/// down, so nothing else ends the tasks.
+#[test]
+fn terms_in_quick_succession_do_not_keep_stops_back() {
+    for seed in seeds(25, 4) {
+        let size = Size { machines: 60, capacity: 70, ..LARGE };
+        let mut world = World::sized(seed, keeping_idle_machines(), size);
+        let mut ids = Vec::new();
+        for n in 0..6 {
+            let mut spec = World::spec(Kind::Array, "green", 30, 1.0);
+            spec.estimate_s = 200.0;
+            spec.spot = false;
+            ids.push(world.submit(n + 1, spec));
+        }
+        world.run_for(35 * S);
+        world.cloud_outage((CANCEL_S + 20) * S);
+        world.late_commands((CANCEL_S + 15) * S, 1, 2 * S..16 * S);
+        cancel_at(&mut world, &ids, 0);
+        world.run_for((CANCEL_S + 20) * S);
+        assert_clean(&world, &format!("terms {seed}"));
+        finish(&mut world, &format!("terms {seed}"));
+    }
+}
+
+/// A start that was sent directly is held up for longer than a cancellation may take. The state service is away, so no new
+/// term makes it void, and the cloud is down, so its machine can't be deleted. Its holder must not keep the session
+/// alive in which the start is valid.
+#[test]
+fn a_start_held_up_for_long_is_void_with_its_session() {
+    for seed in seeds(26, 8) {
+        let mut world = World::with_policy(seed, keeping_idle_machines());
+        world.run_for(20 * S);
+        world.late_commands(4 * S, 1, (CANCEL_S + 5) * S..(CANCEL_S + 12) * S);
+        let mut ids = Vec::new();
+        for n in 0..3 {
+            let spec = World::spec(Kind::Service, ["red", "blue", "green"][n as usize % 3], 2, 1.0);
+            ids.push(world.submit(n + 1, spec));
+        }
+        world.run_for(1500 * MS);
+        cancel_at(&mut world, &ids, 0);
+        world.run_for(S);
+        assert!(told(&world, &ids) > 0, "{seed}: nobody was told");
+        world.state_outage((CANCEL_S + 20) * S);
+        world.cloud_outage((CANCEL_S + 20) * S);
+        world.run_for((CANCEL_S + 25) * S);
+        assert_clean(&world, &format!("held start {seed}"));
+        finish(&mut world, &format!("held start {seed}"));
+    }
+}
--- a/tests/rules/world/control.rs
+++ b/tests/rules/world/control.rs
@@ -104,6 +104,15 @@
             Effect::Orders { machine, orders, .. } => {
                 let id = machine.clone();
                 let empty = orders.orders.is_empty();
+                if let Some(late) = self.command_delay() {
+                    self.next_call += 1;
+                    let call = self.next_call;
+                    self.open_calls.insert(call, ());
+                    self.at(late, Event::Orders { node, life, call, machine, orders });
+                    let failure = if empty { Failure::NotDone } else { Failure::Unknown };
+                    let command = Command::Orders { machine: id, outcome: OrdersOutcome::Failed(failure) };
+                    return self.at(2500 * MS, Event::Outcome { node, life, call, command });
+                }
                 self.call(
                     node,
                     Place::Worker(machine.clone()),
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -1,10 +1,11 @@
 //! Troubles that scenarios cause, and changes of version and limits.
 
-use super::network::Cut;
+use super::network::{Cut, LateCommands};
 use super::{Event, Limits, MS, Place, S, World};
 use burlhatch::units::MachineId;
 use ciborium::Value;
 use std::collections::BTreeSet;
+use std::ops::Range;
 
 impl World {
     pub fn crash(&mut self, node: usize, back_after: u64) {
@@ -96,6 +97,17 @@
         self.late_writer = Some(node);
     }
 
+    /// Direct commands, one in so many, get no answer and are carried out after one of these delays.
+    pub fn late_commands(&mut self, duration: u64, one_in: u32, delays: Range<u64>) {
+        tracing::info!(at_ms = self.now / MS, duration, one_in, "trouble: late commands");
+        self.late_commands = Some(LateCommands { until: self.now + duration, one_in, delays });
+    }
+
+    /// The cloud answers nobody.
+    pub fn cloud_outage(&mut self, duration: u64) {
+        self.cut(duration, false, |_, to| *to == Place::Cloud);
+    }
+
     /// Answers of the state service, one in so many, come up to the time limit late.
     pub fn late_answers(&mut self, duration: u64, one_in: u32) {
         tracing::info!(at_ms = self.now / MS, duration, "trouble: late answers");
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -20,7 +20,7 @@
 use burlhatch::units::{JobId, MachineId};
 use cloud::Cloud;
 pub use network::Place;
-use network::{Cut, Fate};
+use network::{Cut, Fate, LateCommands};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use records::Records;
@@ -191,6 +191,8 @@
     late_writes: (u64, u32),
     /// Only those of this controller.
     late_writer: Option<usize>,
+    /// Direct commands that are held up on their way, unanswered, and carried out once, if any are.
+    late_commands: Option<LateCommands>,
     /// Until then every packet takes so much longer at most.
     slow: (u64, u64),
     /// Until then an answer of the state service, one in so many, takes up to the time limit, though the request was
@@ -261,6 +263,7 @@
             report_copies: 30,
             late_writes: (0, 1),
             late_writer: None,
+            late_commands: None,
             slow: (0, 0),
             late_answers: (0, 1),
             watch_lag: vec![0; size.nodes],
--- a/tests/rules/world/network.rs
+++ b/tests/rules/world/network.rs
@@ -4,6 +4,7 @@
 use burlhatch::coordination::{Command, Failure};
 use burlhatch::units::MachineId;
 use rand::Rng;
+use std::ops::Range;
 
 /// Ends of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,6 +27,16 @@
     pub(super) one_way: bool,
 }
 
+/// Direct commands that come late: their senders have given up, and the workers carry them out if token and session
+/// still match.
+#[derive(Clone)]
+pub(super) struct LateCommands {
+    pub(super) until: u64,
+    /// One in so many.
+    pub(super) one_in: u32,
+    pub(super) delays: Range<u64>,
+}
+
 pub(super) enum Fate {
     Arrives(u64),
     /// Arrives late; whoever sent it has given up by then.
@@ -85,6 +96,12 @@
         }
     }
 
+    /// How late a direct command that leaves now arrives, if it is held up.
+    pub(super) fn command_delay(&mut self) -> Option<u64> {
+        let late = self.late_commands.clone().filter(|late| self.now < late.until)?;
+        self.chance(late.one_in).then(|| self.rng.random_range(late.delays))
+    }
+
     pub(super) fn reply(&mut self, from: Place, node: usize, life: u64, call: u64, command: Command) {
         self.reply_after(0, from, node, life, call, command);
     }
--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -54,6 +54,8 @@
     flight: Option<(u64, u64, u64)>,
     wake: u64,
     changed: bool,
+    /// When a higher token last counted as a change.
+    token_change: Option<u64>,
     pub hung_until: u64,
     pub sick: bool,
     /// Until then its reports reach nobody.
@@ -92,6 +94,18 @@
         }
     }
 
+    /// Keeps the highest token, and reports a higher one at once, though only one time within half a lease.
+    fn take_token(&mut self, token: Term, now: u64) {
+        if token <= self.token {
+            return;
+        }
+        self.token = token;
+        if self.token_change.is_none_or(|at| now - at >= LEASE / 2) {
+            self.token_change = Some(now);
+            self.changed = true;
+        }
+    }
+
     fn on_machine(&self, key: &(JobId, u32)) -> bool {
         self.tasks.get(key).is_some_and(|t| t.state != TaskState::Fetching)
     }
@@ -115,6 +129,7 @@
             flight: None,
             wake: 0,
             changed: true,
+            token_change: None,
             hung_until: 0,
             sick: false,
             unreported_until: 0,
@@ -184,10 +199,7 @@
         let pause = match answer {
             Some(WorkerAnswer::Orders(orders)) => {
                 if orders.token >= worker.token && session == worker.session {
-                    if orders.token > worker.token {
-                        worker.changed = true;
-                    }
-                    worker.token = orders.token;
+                    worker.take_token(orders.token, now);
                     worker.renewed = worker.renewed.max(sent);
                     self.obey(&id, &orders.orders);
                 }
@@ -224,8 +236,7 @@
         }
         let done = orders.token >= worker.token && orders.session == worker.session;
         if done {
-            worker.changed |= orders.token > worker.token;
-            worker.token = orders.token;
+            worker.take_token(orders.token, now);
             self.obey(&id, &orders.orders);
         }
         let Some(worker) = self.workers.get_mut(&id) else { return };
