Leases are renewed only by who stops cancelled tasks, and told only once obeyed

Cause: an answer that renews a worker's lease was not tied to what its sender knows of cancellations. A holder that a successor has deposed renewed leases after that one had told the user; an answer to a report without the present term renewed the lease without the stops; and a session was kept alive in which a late start was still valid, so that only a deletion could end it, which needs the cloud. Change: 'cancelled' is told only once the machines with starts of the job obey the share's holder; every renewing answer, made in one place (lease_renewal.rs), stops what the report names of cancelled jobs; where a command under the present term may still be carried out and a cancelled task is not proven gone, the lease is not renewed beyond cancel_s less lease_s. Deletion moved from cancellations.rs to clearing.rs.

--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -2,18 +2,19 @@
 //!
 //! Once any user was told that a job is cancelled, all its tasks have to be gone in a bounded time, whatever
 //! fails next. So it is told only once it is known where it counts: by the controller that commands the job's
-//! tasks, as of a moment at or after the cancellation. That one stops them on its own term, which needs no
-//! state service. If nothing else proves in time that they are gone, it has their machines deleted, which
-//! needs none either and holds for a machine that hangs.
+//! tasks, as of a moment at or after the cancellation, and once the machines with tasks of the job obey that one:
+//! until then a deposed holder that knows of nothing could go on renewing their leases. From here on every answer that
+//! renews a lease carries the stops (see [`super::lease_renewal`]). If nothing proves in time that the tasks are gone,
+//! their machines are deleted (see [`super::clearing`]).
 
-use super::leader::Call;
+use super::clearing::Clearing;
 use super::usage::Phase;
 use super::users::BUSY;
 use super::{Core, Effect, UserAnswer, Waiter};
-use crate::bookkeeping::schema::{EndRecord, Key, Outcome, Role, to_value};
+use crate::bookkeeping::schema::{EndRecord, Key, Role, to_value};
 use crate::protocol::peer::{CancellationAck, Cancelled, CancelledJob};
 use crate::protocol::user::valid_id;
-use crate::units::{JobId, MachineId, Micros, Term};
+use crate::units::{JobId, Micros, Term};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Default)]
@@ -25,13 +26,10 @@
     /// Siblings being told of jobs.
     notifying: BTreeMap<u64, Vec<JobId>>,
     pub next_call: u64,
-    /// By when what is left of cancelled jobs is to be deleted with its machines.
-    deadlines: BTreeMap<JobId, Micros>,
-    /// Machines whose deletion was asked for, and when.
-    clearing: BTreeMap<MachineId, Micros>,
-    /// Machines that were so deleted and are still in the stored records, and when that was last sent to be written
-    /// down.
-    cleared: BTreeMap<MachineId, Option<Micros>>,
+    /// Jobs that a holder did not acknowledge together with others: each is asked about alone.
+    ask_alone: BTreeSet<JobId>,
+    /// What is left of cancelled jobs, and the deletion of the machines that it is on.
+    pub clearing: Clearing,
 }
 
 impl Cancellations {
@@ -40,9 +38,11 @@
     }
 }
 
-/// Whether those who command a cancelled job's tasks know that it is cancelled.
+/// Whether those who command a cancelled job's tasks know that it is cancelled, and are obeyed.
 enum Acknowledgement {
     Sure,
+    /// The share is held here, but a machine with a task of the job may still obey an earlier holder.
+    NotObeyed,
     /// The replica is older than the cancellation.
     Stale,
     /// Nobody holds the share now.
@@ -51,10 +51,6 @@
     Ask(u32, String, Term),
 }
 
-/// Names in one deletion at most.
-const CLEAR_MOST: usize = 100;
-/// A deletion not confirmed by then is asked for again.
-const CLEAR_AGAIN: Micros = Micros::from_millis(3000);
 /// What is known of jobs is dropped once the stored records no longer need it; looked at so often.
 const PRUNE_AT: usize = 64;
 
@@ -81,7 +77,7 @@
         let role = Role::Share(job.share);
         // Held here, and the replica shows no later holder.
         if self.held(role).is_some() {
-            return Acknowledgement::Sure;
+            return if self.is_obeyed_on(id) { Acknowledgement::Sure } else { Acknowledgement::NotObeyed };
         }
         match self.replica.roles.get(&role) {
             Some(held) if held.value.owner != self.label => {
@@ -91,6 +87,17 @@
         }
     }
 
+    /// Whether all machines with a recorded start of the job have shown a term of this holder's: from then on no earlier
+    /// holder can renew their leases, nor have a start carried out there.
+    fn is_obeyed_on(&self, id: &JobId) -> bool {
+        let Some(job) = self.jobs.get(id) else { return true };
+        let mut starts = job.live.values().filter(|start| start.occupies() && start.phase() != Phase::Decided);
+        starts.all(|start| {
+            let machine = start.machine();
+            self.is_cleared(machine) || self.machines.get(machine).is_some_and(|m| m.obeys_holder)
+        })
+    }
+
     /// Tells a user that a job is cancelled, as soon as that may be told.
     pub(super) fn answer_cancelled(&mut self, waiter: Waiter, id: JobId) {
         let now = self.now();
@@ -109,6 +116,10 @@
             let answer = match self.acknowledgement(&id) {
                 Acknowledgement::Sure => self.final_status(&id).map_or(BUSY, UserAnswer::Status),
                 Acknowledgement::Nobody => BUSY,
+                Acknowledgement::NotObeyed => {
+                    self.keep_waiting(id, waiters, now, patience);
+                    continue;
+                }
                 Acknowledgement::Stale if !self.reaches_state() => BUSY,
                 Acknowledgement::Stale => {
                     self.reads.wanted = true;
@@ -128,7 +139,12 @@
             }
         }
         for ((share, holder, term), ids) in ask {
-            self.notify_holder(share, holder, term, ids);
+            let (alone, together): (Vec<_>, Vec<_>) =
+                ids.into_iter().partition(|id| self.cancellations.ask_alone.remove(id));
+            let messages = alone.into_iter().map(|id| vec![id]).chain([together]).filter(|ids| !ids.is_empty());
+            for ids in messages.collect::<Vec<_>>() {
+                self.notify_holder(share, holder.clone(), term, ids);
+            }
         }
     }
 
@@ -165,6 +181,11 @@
             }
             return;
         }
+        if ids.len() > 1 {
+            // One of them may be all that the holder can't vouch for.
+            self.cancellations.ask_alone.extend(ids);
+            return;
+        }
         for id in ids {
             for (_, waiter) in self.cancellations.waiting.remove(&id).unwrap_or_default() {
                 self.answer(waiter, BUSY);
@@ -187,108 +208,9 @@
             }
         }
         self.changed(changes);
-        let holds = self.held(Role::Share(message.share)).is_some_and(|term| term.0 >= message.term);
+        let obeyed =
+            message.jobs.iter().filter(|job| valid_id(&job.id)).all(|job| self.is_obeyed_on(&JobId::new(&job.id)));
+        let holds = obeyed && self.held(Role::Share(message.share)).is_some_and(|term| term.0 >= message.term);
         self.out.push(Effect::AnswerPeer(waiter, CancellationAck { holds }));
     }
-
-    /// So long after a cancellation its tasks' machines are deleted: late enough that a lease may have run
-    /// out first, which proves as much and costs nothing.
-    fn clear_after(&self) -> Micros {
-        let workers = &self.platform.deployment.workers;
-        let cancel = Micros::from_secs_f64(workers.cancel_s);
-        let part = Micros::from_secs_f64(workers.cancel_s * self.policy.clear_part);
-        let lease = Micros::from_secs_f64(workers.lease_s * 1.002 + 3.0);
-        part.max(lease).min(cancel - Micros::from_millis(self.policy.clear_margin_ms))
-    }
-
-    /// Notes by when a cancelled job's tasks have to be proven gone. Counted from what the stored records say, so it
-    /// holds for a successor as well.
-    pub(super) fn note_deadline(&mut self, id: &JobId) {
-        let Some(end) = self.replica.ends.get(id).filter(|e| e.value.outcome == Outcome::Cancelled) else { return };
-        if !self.jobs.contains_key(id) {
-            return;
-        }
-        let age = self.clock.wall.since(end.value.at);
-        let left = self.clear_after().since(age).max(Micros::from_millis(self.policy.clear_contact_ms));
-        self.cancellations.deadlines.insert(id.clone(), self.now() + left);
-    }
-
-    /// Deletes the machines on which something of a cancelled job may run when its time is up. A machine that
-    /// obeys a successor is left to that one.
-    pub(super) fn clear_cancelled(&mut self) {
-        let now = self.now();
-        self.strike_out_cleared();
-        if self.cancellations.deadlines.is_empty() {
-            return;
-        }
-        let mut due: BTreeMap<MachineId, Micros> = BTreeMap::new();
-        let mut deadlines = std::mem::take(&mut self.cancellations.deadlines);
-        deadlines.retain(|id, deadline| {
-            let Some(job) = self.jobs.get(id).filter(|j| j.live.occupying() > 0) else { return false };
-            if *deadline > now || !self.clears_share(job.share) {
-                return true;
-            }
-            for live in job.live.values().filter(|l| l.occupies() && l.phase() != Phase::Decided) {
-                let first = due.entry(live.machine().clone()).or_insert(*deadline);
-                *first = (*first).min(*deadline);
-            }
-            true
-        });
-        self.cancellations.deadlines = deadlines;
-        self.cancellations.clearing.retain(|_, at| now.since(*at) < CLEAR_AGAIN);
-        let mut ids: Vec<(Micros, MachineId)> = due
-            .into_iter()
-            .filter(|(id, _)| self.machines.get(id).is_some_and(|m| !m.outranked))
-            .filter(|(id, _)| !self.cancellations.clearing.contains_key(id) && !self.is_cleared(id))
-            .map(|(id, deadline)| (deadline, id))
-            .collect();
-        ids.sort_unstable();
-        for part in ids.chunks(CLEAR_MOST) {
-            let part: Vec<MachineId> = part.iter().map(|(_, id)| id.clone()).collect();
-            tracing::warn!(machines = ?part, "deleted, as cancelled tasks may still run there");
-            self.cancellations.clearing.extend(part.iter().map(|id| (id.clone(), now)));
-            self.cloud(Call::Clear(part));
-        }
-    }
-
-    /// Whether this controller has to see to it that a share's cancelled tasks are gone: it holds the share; or nobody
-    /// does, and as long as the state service is away nobody can take it.
-    fn clears_share(&self, share: u32) -> bool {
-        let role = Role::Share(share);
-        self.held(role).is_some() || (!self.replica.roles.contains_key(&role) && !self.reaches_state())
-    }
-
-    /// Whether it was deleted here, though the stored records don't say so yet.
-    pub(super) fn is_cleared(&self, id: &MachineId) -> bool {
-        self.cancellations.cleared.contains_key(id)
-    }
-
-    /// Their deletion was confirmed: nothing is left on them, whether or not that can be written down now.
-    pub(super) fn machines_cleared(&mut self, ids: Vec<MachineId>) {
-        let now = self.now();
-        for id in ids {
-            for (job, task) in self.usage.starts_on(&id) {
-                self.start_gone(&job, task);
-            }
-            self.leader.deleted.insert(id.clone(), now);
-            self.cancellations.cleared.insert(id, None);
-        }
-    }
-
-    /// Takes machines deleted here out of the stored records, again if a change of their records came between.
-    fn strike_out_cleared(&mut self) {
-        let now = self.now();
-        let recorded = &self.replica.machines;
-        self.cancellations.cleared.retain(|id, _| recorded.contains_key(id));
-        let mut ids = Vec::new();
-        for (id, sent) in &mut self.cancellations.cleared {
-            let due = sent.is_none_or(|at| now.since(at) >= CLEAR_AGAIN);
-            if let Some(machine) = self.machines.get_mut(id).filter(|m| due && !m.writing) {
-                machine.writing = true;
-                *sent = Some(now);
-                ids.push(id.clone());
-            }
-        }
-        self.strike_out(ids);
-    }
 }
--- /dev/null
+++ b/src/coordination/lease_renewal.rs
@@ -0,0 +1,65 @@
+//! Answers that renew a worker's lease: the one place where they are made.
+//!
+//! A worker whose lease nobody renews kills its tasks in a time that is well below the one allowed for a cancellation.
+//! So a cancelled task can run on only if an answer renewed the lease and did not stop it, or if a start that is still on
+//! its way reaches a session that was kept alive. Hence two rules, which hold without the state service and the cloud:
+//!
+//! - Every answer that renews a lease stops what the machine has of cancelled jobs, whatever else is known of the machine
+//!   or its term: stopping a task whose job has its outcome is always right.
+//! - Where a command under the present term may still be carried out, and something of a cancelled job is not proven
+//!   gone, the lease is not renewed beyond the time in which it would run out before the cancellation is due. Its end
+//!   makes the command void. Under a later term the answer does so by itself.
+
+use super::orders::ORDERS_MAX;
+use super::{Core, WorkerAnswer};
+use crate::bookkeeping::schema::Outcome;
+use crate::protocol::worker::{Order, Orders, Report, TaskState};
+use crate::units::{MachineId, TaskId, Term};
+
+impl Core {
+    /// The answer to a report that was just taken in, under our token.
+    pub(super) fn renewing_answer(&mut self, report: &Report, token: Term) -> WorkerAnswer {
+        let now = self.now();
+        let id = &report.machine;
+        if self.is_renewal_withheld(id, token) {
+            return WorkerAnswer::Unavailable;
+        }
+        let Some(machine) = self.machines.get_mut(id) else { return WorkerAnswer::Unavailable };
+        machine.answered = now;
+        // Before the worker has shown our token its report proves nothing; the answer's token makes it report again.
+        let reliable = machine.term_confirmed && machine.session == report.session;
+        let mut orders = if reliable { self.orders_for(id, Some(report.seq)) } else { Vec::new() };
+        let complete = reliable && orders.len() < ORDERS_MAX;
+        for stop in self.stops_of_cancelled(report) {
+            if !orders.contains(&stop) {
+                orders.push(stop);
+            }
+        }
+        if complete && let Some(machine) = self.machines.get_mut(id) {
+            machine.push = false;
+        }
+        WorkerAnswer::Orders(Orders { token, orders })
+    }
+
+    /// Whether a lapse of the lease is what makes a late start of a cancelled task void.
+    fn is_renewal_withheld(&mut self, id: &MachineId, token: Term) -> bool {
+        let in_doubt = self.machines.get(id).is_some_and(|m| m.unacknowledged.is_some_and(|doubt| doubt >= token));
+        let withheld = in_doubt && self.is_overdue_on(id);
+        if let Some(machine) = self.machines.get_mut(id) {
+            if withheld && !machine.renewal_withheld {
+                tracing::warn!(machine = %id, "lease not renewed: a cancelled task may still be started there");
+            }
+            machine.renewal_withheld = withheld;
+        }
+        withheld
+    }
+
+    /// Stops for all that the worker says it has of cancelled jobs.
+    fn stops_of_cancelled(&self, report: &Report) -> Vec<Order> {
+        let is_cancelled = |task: &TaskId| self.outcome(&task.job) == Some(Outcome::Cancelled);
+        let reported = report.tasks.iter().filter(|task| task.state != TaskState::Exited);
+        let cancelled = reported.filter(|reported| TaskId::parse(&reported.task).is_some_and(|t| is_cancelled(&t)));
+        let stop = |task: &str, attempt| Order::Stop { task: task.to_string(), attempt, grace_s: 0.0 };
+        cancelled.map(|reported| stop(&reported.task, reported.attempt)).collect()
+    }
+}
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -70,6 +70,11 @@
     pub answered: Micros,
     /// Has shown our token since we took its share: what it reports counts.
     pub term_confirmed: bool,
+    /// Has shown some term of its share's present holder: it obeys no earlier holder any more. Unlike
+    /// `term_confirmed` this stays when the same holder draws a new term.
+    pub obeys_holder: bool,
+    /// Its lease is not renewed, on account of a cancelled task.
+    pub renewal_withheld: bool,
     pub notice: bool,
     /// A direct message is on its way.
     pub direct: bool,
@@ -173,6 +178,7 @@
     /// former owner may have been heard by it and renewed its lease.
     pub fn new_owner(&mut self, now: Micros) {
         self.term_confirmed = false;
+        self.obeys_holder = false;
         self.outranked = false;
         self.push = true;
         self.push_after = Micros::ZERO;
@@ -267,6 +273,7 @@
                 let term_confirmed = self.token(id).is_some_and(|t| token_seen >= t);
                 if let Some(machine) = self.machines.get_mut(id) {
                     machine.term_confirmed = term_confirmed;
+                    machine.obeys_holder |= term_confirmed;
                     machine.push |= !term_confirmed;
                     if machine.push {
                         machine.push_after = Micros::ZERO;
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -1,13 +1,12 @@
 //! Reports of workers: which are new, what they prove about tasks, and what is answered.
 
 use super::machines::{Failures, Fetch, LastReport, UnrecordedTask};
-use super::orders::ORDERS_MAX;
 use super::usage::{Phase, Start};
 use super::zones::ZoneStart;
 use super::{Core, Effect, Unregistered, Waiter, WorkerAnswer};
 use crate::bookkeeping::schema::Role;
 use crate::protocol::user::Kind;
-use crate::protocol::worker::{ExitCause, Order, Orders, Report, TaskState};
+use crate::protocol::worker::{ExitCause, Report, TaskState};
 use crate::units::{JobId, MachineId, TaskId, Term};
 use std::collections::BTreeSet;
 
@@ -46,8 +45,7 @@
             return Some(WorkerAnswer::Unavailable);
         }
         self.take_report(&report, Source::Report);
-        let orders = self.orders_in_answer(&report);
-        Some(WorkerAnswer::Orders(Orders { token, orders }))
+        Some(self.renewing_answer(&report, token))
     }
 
     /// A machine without a record: the leader may register it, others send its worker there.
@@ -106,26 +104,6 @@
         true
     }
 
-    /// Orders for the answer to a report that was just taken in. Before the worker has shown our token its report
-    /// proves nothing; the answer's token makes it report again at once.
-    fn orders_in_answer(&mut self, report: &Report) -> Vec<Order> {
-        let now = self.now();
-        let id = &report.machine;
-        let Some(machine) = self.machines.get_mut(id) else { return Vec::new() };
-        machine.answered = now;
-        if !machine.term_confirmed || machine.session != report.session {
-            return Vec::new();
-        }
-        let orders = self.orders_for(id, Some(report.seq));
-        if let Some(machine) = self.machines.get_mut(id)
-            && orders.len() < ORDERS_MAX
-        {
-            // All is said.
-            machine.push = false;
-        }
-        orders
-    }
-
     /// Takes in a worker's account of itself.
     pub(super) fn take_report(&mut self, report: &Report, source: Source) {
         let now = self.now();
@@ -160,6 +138,7 @@
         if !machine.term_confirmed {
             return;
         }
+        machine.obeys_holder = true;
         if machine.unacknowledged.is_some_and(|d| report.token > d) {
             machine.unacknowledged = None;
         }
--- a/tests/rules/cancellations.rs
+++ b/tests/rules/cancellations.rs
@@ -1,6 +1,6 @@
 //! Cancellations that meet other troubles: once a user was told, nothing of the job may be left in time.
 
-use super::world::{CANCEL_S, LARGE, MS, Place, S, SMALL, Size, World};
+use super::world::{CANCEL_S, LARGE, MS, Place, S, SHORT_LEASES, SLOW_REPORTS, SMALL, Size, TIMES, World};
 use super::{assert_clean, finish, keeping_idle_machines, seeds};
 use burlhatch::protocol::user::{JobState, Kind};
 use burlhatch::units::JobId;
@@ -241,8 +241,9 @@
 /// down, so nothing else ends the tasks.
 #[test]
 fn terms_in_quick_succession_do_not_keep_stops_back() {
-    for seed in seeds(25, 4) {
-        let size = Size { machines: 60, capacity: 70, ..LARGE };
+    for seed in seeds(25, 6) {
+        let times = [TIMES, SLOW_REPORTS, SHORT_LEASES][seed as usize % 3];
+        let size = Size { machines: 60, capacity: 70, times, ..LARGE };
         let mut world = World::sized(seed, keeping_idle_machines(), size);
         let mut ids = Vec::new();
         for n in 0..6 {
@@ -251,11 +252,20 @@
             spec.spot = false;
             ids.push(world.submit(n + 1, spec));
         }
+        // Services come and are called off all the time, which takes direct commands.
+        for n in 0..120 {
+            let id = world.submit(100 + n, World::spec(Kind::Service, "green", 4, 0.25));
+            if let Some(job) = world.jobs.get_mut(&id) {
+                job.submitted = world.now + 30 * S + n * 700 * MS;
+                job.cancel_at = Some(job.submitted + 8 * S);
+            }
+        }
         world.run_for(35 * S);
-        world.cloud_outage((CANCEL_S + 20) * S);
-        world.late_commands((CANCEL_S + 15) * S, 1, 2 * S..16 * S);
+        world.late_commands(times.cancel + 35 * S, 1, 2 * S..16 * S);
+        world.run_for(15 * S);
+        world.cloud_outage(times.cancel + 20 * S);
         cancel_at(&mut world, &ids, 0);
-        world.run_for((CANCEL_S + 20) * S);
+        world.run_for(times.cancel + 20 * S);
         assert_clean(&world, &format!("terms {seed}"));
         finish(&mut world, &format!("terms {seed}"));
     }
--- a/tests/rules/world/control.rs
+++ b/tests/rules/world/control.rs
@@ -44,6 +44,7 @@
             Effect::AnswerUser(waiter, answer) => self.user_answer(node, waiter, answer),
             Effect::AnswerWorker(waiter, answer) => {
                 if let Some((machine, serial)) = self.nodes[node].workers.remove(&waiter) {
+                    self.check_renewal(node, &machine, serial, &answer);
                     let fate = self.fate(&Place::Node(node), &Place::Worker(machine.clone()));
                     match fate {
                         Fate::Arrives(delay) | Fate::Held(delay) => {
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -39,6 +39,20 @@
 /// How long a controller waits for an answer of the state service.
 const STATE_LIMIT: u64 = 1500 * MS;
 
+/// The workers' times.
+#[derive(Clone, Copy)]
+pub struct Times {
+    pub report: u64,
+    pub lease: u64,
+    pub cancel: u64,
+}
+
+pub const TIMES: Times = Times { report: 3 * S, lease: 20 * S, cancel: CANCEL_S * S };
+/// Reports that come rarely, in long leases.
+pub const SLOW_REPORTS: Times = Times { report: 10 * S, lease: 45 * S, cancel: 65 * S };
+/// Short leases, and little time for a cancellation.
+pub const SHORT_LEASES: Times = Times { report: 1500 * MS, lease: 14 * S, cancel: 39 * S };
+
 /// How large a world is.
 #[derive(Clone, Copy)]
 pub struct Size {
@@ -49,15 +63,18 @@
     /// Changes the state service takes in a second.
     pub write_rps: f64,
     pub zones: &'static [&'static str],
+    pub times: Times,
 }
 
-pub const SMALL: Size = Size { nodes: 3, machines: 5, capacity: 14, write_rps: 50.0, zones: &["a", "b"] };
-pub const LARGE: Size = Size { nodes: 5, machines: 200, capacity: 260, write_rps: 30.0, zones: &["a", "b"] };
+pub const SMALL: Size = Size { nodes: 3, machines: 5, capacity: 14, write_rps: 50.0, zones: &["a", "b"], times: TIMES };
+pub const LARGE: Size =
+    Size { nodes: 5, machines: 200, capacity: 260, write_rps: 30.0, zones: &["a", "b"], times: TIMES };
 pub const FLEET: Size =
-    Size { nodes: 5, machines: 1000, capacity: 1300, write_rps: 35.0, zones: &["a", "b", "c", "d"] };
+    Size { nodes: 5, machines: 1000, capacity: 1300, write_rps: 35.0, zones: &["a", "b", "c", "d"], times: TIMES };
 
 fn settings(node: usize, size: Size) -> String {
-    let Size { nodes, write_rps, zones, .. } = size;
+    let Size { nodes, write_rps, zones, times, .. } = size;
+    let [report_s, lease_s, cancel_s] = [times.report, times.lease, times.cancel].map(|span| span as f64 / S as f64);
     let mut text =
         format!("label = \"node-{node}\"\npublic_addr = \"10.0.0.{0}:8080\"\nback = \"10.0.0.{0}:8081\"\n", node + 1);
     for other in (0..nodes).filter(|n| *n != node) {
@@ -70,7 +87,7 @@
         text += &format!("[[deployment.teams]]\nname = \"{team}\"\ncpus = {cpus}\ncpus_max = {most}\n");
     }
     text += &format!(
-        "[deployment.workers]\nreport_s = 3.0\nlease_s = 20.0\ngang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = {CANCEL_S}.0\n\
+        "[deployment.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = {cancel_s:?}\n\
          [deployment.state]\nrps = 200.0\nwrite_rps = {write_rps}\nvalue_kb = 4.0\ntxn_ops = 12\n\
          [deployment.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n[deployment.quota]\nfd_limit = 1000\n"
     );
--- a/tests/rules/world/users.rs
+++ b/tests/rules/world/users.rs
@@ -1,6 +1,6 @@
 //! Users: what they submit, ask and call off, and the rules about what they are told.
 
-use super::{CANCEL_S, Event, MS, S, World};
+use super::{Event, MS, S, World};
 use burlhatch::coordination::{Command, Core, UserAnswer, UserRequest};
 use burlhatch::protocol::user::{JobSpec, JobState, JobStatus, Kind, Priority, Submission};
 use burlhatch::units::JobId;
@@ -295,7 +295,8 @@
         };
         let now = self.now;
         let called_off = self.called_off(&id, |job| job.cancel_at.filter(|at| *at <= now));
-        let orphaned = self.called_off(&id, |job| job.cancelled).is_some_and(|at| asked_at > at + CANCEL_S * S);
+        let orphaned =
+            self.called_off(&id, |job| job.cancelled).is_some_and(|at| asked_at > at + self.size.times.cancel);
         let cancel_at_once = self.cancel_at_once > 0 && self.chance(self.cancel_at_once);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let before = (job.accepted, job.told);
--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -2,15 +2,14 @@
 //! checked, with the knowledge of all machines that no controller has.
 
 use super::cloud::cpus_of;
-use super::{CANCEL_S, Event, Fate, MS, Place, S, World};
+use super::{Event, Fate, MS, Place, S, World};
+use burlhatch::bookkeeping::schema::Outcome;
 use burlhatch::coordination::{Command, OrdersOutcome, WorkerAnswer};
 use burlhatch::protocol::user::{JobSpec, Kind};
 use burlhatch::protocol::worker::{DirectOrders, ExitCause, Order, Report, ReportedTask, TaskState};
 use burlhatch::units::{JobId, MachineId, TaskId, Term};
 use std::collections::BTreeMap;
 
-const LEASE: u64 = 20 * S;
-const REPORT: u64 = 3 * S;
 const GANG_WAIT: u64 = 30 * S;
 
 fn limit_of(team: &str) -> f64 {
@@ -52,6 +51,8 @@
     node: usize,
     /// The report in flight and when it was sent.
     flight: Option<(u64, u64, u64)>,
+    /// What it says is on the machine, not ended.
+    reported: Vec<ReportedTask>,
     wake: u64,
     changed: bool,
     /// When a higher token last counted as a change.
@@ -95,12 +96,12 @@
     }
 
     /// Keeps the highest token, and reports a higher one at once, though only one time within half a lease.
-    fn take_token(&mut self, token: Term, now: u64) {
+    fn take_token(&mut self, token: Term, now: u64, lease: u64) {
         if token <= self.token {
             return;
         }
         self.token = token;
-        if self.token_change.is_none_or(|at| now - at >= LEASE / 2) {
+        if self.token_change.is_none_or(|at| now - at >= lease / 2) {
             self.token_change = Some(now);
             self.changed = true;
         }
@@ -127,6 +128,7 @@
             done: Vec::new(),
             node: self.pick(self.size.nodes as u64) as usize,
             flight: None,
+            reported: Vec::new(),
             wake: 0,
             changed: true,
             token_change: None,
@@ -164,10 +166,11 @@
         let serial = self.next_serial;
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.flight = Some((serial, now, worker.session));
+            worker.reported = report.tasks.iter().filter(|task| task.state != TaskState::Exited).cloned().collect();
         }
         if self.report_copies > 0 && self.chance(self.report_copies) {
             // A copy comes late, from seconds to well over a lease; nobody waits for its answer.
-            let late = S + self.pick(3 * LEASE);
+            let late = S + self.pick(3 * self.size.times.lease);
             // Whoever leads by then may get it.
             let node = if self.chance(2) { self.pick(self.size.nodes as u64) as usize } else { node };
             self.at(late, Event::Report { node, report: report.clone(), serial: 0 });
@@ -181,9 +184,33 @@
         self.at(4 * S, Event::ReportAnswer { machine: id, serial, answer: None });
     }
 
+    /// An answer renews the lease: it must stop what the report names of jobs that the controller knows to be cancelled.
+    pub(super) fn check_renewal(&mut self, node: usize, id: &MachineId, serial: u64, answer: &WorkerAnswer) {
+        let WorkerAnswer::Orders(given) = answer else { return };
+        let Some(worker) = self.workers.get(id).filter(|w| w.flight.is_some_and(|(flight, ..)| flight == serial))
+        else {
+            return;
+        };
+        let Some(core) = &self.nodes[node].core else { return };
+        let ends = &core.replica().ends;
+        let cancelled = |task: &ReportedTask| {
+            let job = TaskId::parse(&task.task).map(|task| task.job);
+            job.and_then(|job| ends.get(&job)).is_some_and(|end| end.value.outcome == Outcome::Cancelled)
+        };
+        let stopped = |task: &ReportedTask| {
+            given.orders.iter().any(
+                |order| matches!(order, Order::Stop { task: t, attempt, .. } if *t == task.task && *attempt == task.attempt),
+            )
+        };
+        let missing = worker.reported.iter().find(|task| cancelled(task) && !stopped(task));
+        if let Some(task) = missing.map(|task| task.task.clone()) {
+            self.broken(format!("renewed without a stop: {task} on {id}, by node {node}"));
+        }
+    }
+
     pub(super) fn report_answer(&mut self, id: MachineId, serial: u64, answer: Option<WorkerAnswer>) {
         let now = self.now;
-        let nodes = self.size.nodes;
+        let (nodes, times) = (self.size.nodes, self.size.times);
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let Some((flight, sent, session)) = worker.flight else { return };
         if flight != serial {
@@ -199,12 +226,12 @@
         let pause = match answer {
             Some(WorkerAnswer::Orders(orders)) => {
                 if orders.token >= worker.token && session == worker.session {
-                    worker.take_token(orders.token, now);
+                    worker.take_token(orders.token, now, times.lease);
                     worker.renewed = worker.renewed.max(sent);
                     self.obey(&id, &orders.orders);
                 }
                 let changed = self.workers.get(&id).is_some_and(|w| w.changed);
-                if changed { 500 * MS } else { REPORT - REPORT / 4 + self.pick(REPORT / 2) }
+                if changed { 500 * MS } else { times.report - times.report / 4 + self.pick(times.report / 2) }
             }
             Some(WorkerAnswer::Redirect(Some(label))) => {
                 let named = label.strip_prefix("node-").and_then(|n| n.parse().ok()).filter(|n| *n < nodes);
@@ -228,7 +255,7 @@
     }
 
     pub(super) fn worker_orders(&mut self, node: usize, life: u64, call: u64, id: MachineId, orders: DirectOrders) {
-        let now = self.now;
+        let (now, times) = (self.now, self.size.times);
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if worker.hung_until > now {
             let rest = worker.hung_until - now;
@@ -236,7 +263,7 @@
         }
         let done = orders.token >= worker.token && orders.session == worker.session;
         if done {
-            worker.take_token(orders.token, now);
+            worker.take_token(orders.token, now, times.lease);
             self.obey(&id, &orders.orders);
         }
         let Some(worker) = self.workers.get_mut(&id) else { return };
@@ -368,7 +395,7 @@
         if let Some(before) = spec.awaits.iter().find(undone) {
             found.push(format!("too_early: {}/{} starts before {before} is done", key.0, key.1));
         }
-        if cancelled.is_some_and(|at| now > at + CANCEL_S * S) {
+        if cancelled.is_some_and(|at| now > at + self.size.times.cancel) {
             found.push(format!("ran_cancelled: {}/{} starts on {id}", key.0, key.1));
         }
         let Some(worker) = self.workers.get(id) else { return };
@@ -470,14 +497,14 @@
     }
 
     pub(super) fn worker_step(&mut self, id: MachineId) {
-        let now = self.now;
+        let (now, lease) = (self.now, self.size.times.lease);
         if !self.workers.contains_key(&id) {
             return;
         }
         self.at(100 * MS, Event::WorkerStep { machine: id.clone() });
         let Some(worker) = self.workers.get_mut(&id) else { return };
         // Also one that hangs: it may go on with its tasks at any moment within its lease, and not after.
-        if now > worker.renewed + LEASE {
+        if now > worker.renewed + lease {
             worker.tasks.clear();
             worker.exited.clear();
             worker.session += 1;
@@ -523,7 +550,7 @@
             .flat_map(|w| w.tasks.keys().filter(|k| w.on_machine(k)))
             .filter(|k| {
                 let at = self.jobs.get(&k.0).and_then(|j| j.cancelled);
-                at.is_some_and(|at| now > at + CANCEL_S * S)
+                at.is_some_and(|at| now > at + self.size.times.cancel)
             })
             .map(|k| format!("ran_cancelled: {}/{} is still on {id}", k.0, k.1))
             .collect();
--- a/tests/rules/zones.rs
+++ b/tests/rules/zones.rs
@@ -1,7 +1,7 @@
 //! Zones that are lost and come back: services are restored first and without running twice, work returns step by step,
 //! and no single controller's blindness counts as a lost zone.
 
-use super::world::{MS, Place, S, Size, World};
+use super::world::{MS, Place, S, Size, TIMES, World};
 use super::{assert_clean, cancel_services, finish, keeping_idle_machines, ordinary_jobs, seeds};
 use burlhatch::protocol::user::{JobState, Kind, Priority};
 use burlhatch::settings::{Policy, ZoneSettings};
@@ -9,7 +9,8 @@
 use burlhatch_zones::Condition;
 use ciborium::Value;
 
-const THREE_ZONES: Size = Size { nodes: 5, machines: 24, capacity: 48, write_rps: 60.0, zones: &["a", "b", "c"] };
+const THREE_ZONES: Size =
+    Size { nodes: 5, machines: 24, capacity: 48, write_rps: 60.0, zones: &["a", "b", "c"], times: TIMES };
 /// Each share has several machines in each zone, so that none is replaced as a single one that fell silent.
 const NINETY: Size = Size { machines: 90, capacity: 110, ..THREE_ZONES };
 /// The worker's lease in this world: without a deletion nothing of a zone that is cut off starts elsewhere before.
@@ -574,7 +575,8 @@
 /// replicas are at work elsewhere in well under the time that leases and one burst would take.
 #[test]
 fn a_third_of_four_thousand_machines_at_once() {
-    let size = Size { nodes: 5, machines: 4000, capacity: 4400, write_rps: 50.0, zones: &["a", "b", "c"] };
+    let size =
+        Size { nodes: 5, machines: 4000, capacity: 4400, write_rps: 50.0, zones: &["a", "b", "c"], times: TIMES };
     let mut world = World::sized(118_000, judging_zones(), size);
     world.cloud.never_up = 0;
     let mut spec = World::spec(Kind::Service, "green", 20, 1.0);
--- a/tests/rules/zones_measured.rs
+++ b/tests/rules/zones_measured.rs
@@ -2,7 +2,7 @@
 //! `BURLHATCH_SAMPLES=FILE cargo test --release --test rules measure_zones -- --ignored`, then
 //! `cargo run -p burlhatch-testbed -- report FILE PAGE`.
 
-use super::world::{MS, S, Size, World};
+use super::world::{MS, S, Size, TIMES, World};
 use super::{assert_clean, keeping_idle_machines};
 use burlhatch::protocol::user::{JobState, Kind};
 use burlhatch::settings::{Policy, ZoneSettings};
@@ -17,7 +17,7 @@
 const WAVE: u64 = 5 * S;
 
 fn fleet(machines: usize) -> Size {
-    Size { nodes: 5, machines, capacity: machines * 13 / 10, write_rps: 50.0, zones: &["a", "b", "c"] }
+    Size { nodes: 5, machines, capacity: machines * 13 / 10, write_rps: 50.0, zones: &["a", "b", "c"], times: TIMES }
 }
 
 fn variants() -> Vec<(&'static str, ZoneSettings)> {
