What the log tells of a cancellation: who allowed it, what proved each task gone, what is late

Need: when operators saw ran_cancelled no line told which controller knew of the cancellation, by what right it was told, and what proved its tasks gone.

--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -7,6 +7,7 @@
 //! renews a lease carries the stops (see [`super::lease_renewal`]). If nothing proves in time that the tasks are gone,
 //! their machines are deleted (see [`super::clearing`]).
 
+use super::audit::AcknowledgedBy;
 use super::clearing::Clearing;
 use super::usage::Phase;
 use super::users::BUSY;
@@ -40,7 +41,8 @@
 
 /// Whether those who command a cancelled job's tasks know that it is cancelled, and are obeyed.
 enum Acknowledgement {
-    Sure,
+    /// It may be told.
+    Sure(AcknowledgedBy),
     /// The share is held here, but a machine with a task of the job may still obey an earlier holder.
     NotObeyed,
     /// The replica is older than the cancellation.
@@ -58,10 +60,13 @@
     fn acknowledgement(&self, id: &JobId) -> Acknowledgement {
         let Some(end) = self.replica.ends.get(id) else {
             // Over because a job that it needs was cancelled: nothing of it was ever started.
-            return if self.cascaded.contains(id) { Acknowledgement::Sure } else { Acknowledgement::Stale };
+            return match self.cascaded.contains(id) {
+                true => Acknowledgement::Sure(AcknowledgedBy::Cascade),
+                false => Acknowledgement::Stale,
+            };
         };
         if self.cancellations.confirmed.contains(id) {
-            return Acknowledgement::Sure;
+            return Acknowledgement::Sure(AcknowledgedBy::Sibling);
         }
         // Who holds the share is only known as of what was read. A holder from before the cancellation
         // may have a successor by now, and a start may be in the stored records that is not seen here yet.
@@ -71,13 +76,16 @@
         // Starts are recorded under the condition that the job isn't over, and leave the stored records only when
         // proven gone: without any nothing runs, nor will.
         if !self.replica.has_starts(id) {
-            return Acknowledgement::Sure;
+            return Acknowledgement::Sure(AcknowledgedBy::NoStarts);
         }
         let Some(job) = self.jobs.get(id) else { return Acknowledgement::Stale };
         let role = Role::Share(job.share);
         // Held here, and the replica shows no later holder.
         if self.held(role).is_some() {
-            return if self.is_obeyed_on(id) { Acknowledgement::Sure } else { Acknowledgement::NotObeyed };
+            return match self.is_obeyed_on(id) {
+                true => Acknowledgement::Sure(AcknowledgedBy::OwnShare),
+                false => Acknowledgement::NotObeyed,
+            };
         }
         match self.replica.roles.get(&role) {
             Some(held) if held.value.owner != self.label => {
@@ -114,7 +122,10 @@
         let mut ask: BTreeMap<(u32, String, Term), Vec<JobId>> = BTreeMap::new();
         for (id, waiters) in std::mem::take(&mut self.cancellations.waiting) {
             let answer = match self.acknowledgement(&id) {
-                Acknowledgement::Sure => self.final_status(&id).map_or(BUSY, UserAnswer::Status),
+                Acknowledgement::Sure(by) => {
+                    self.audit_told(&id, by);
+                    self.final_status(&id).map_or(BUSY, UserAnswer::Status)
+                }
                 Acknowledgement::Nobody => BUSY,
                 Acknowledgement::NotObeyed => {
                     self.keep_waiting(id, waiters, now, patience);
--- a/src/coordination/clearing.rs
+++ b/src/coordination/clearing.rs
@@ -5,6 +5,7 @@
 //! what holds without it is in [`super::lease_renewal`].
 
 use super::Core;
+use super::audit::AbsenceProof;
 use super::leader::Call;
 use super::usage::Phase;
 use crate::bookkeeping::schema::{Outcome, Role};
@@ -39,6 +40,13 @@
 const LEASE_DRIFT: f64 = 1.002;
 const LEASE_MARGIN_S: f64 = 3.0;
 
+impl Clearing {
+    /// Cancelled jobs of which something may be left.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.deadlines.keys()
+    }
+}
+
 impl Core {
     /// So long after a cancellation its tasks' machines are deleted: late enough that a lease may have run
     /// out first, which proves as much and costs nothing.
@@ -106,12 +114,24 @@
         ids.sort_unstable();
         for part in ids.chunks(CLEAR_MOST) {
             let part: Vec<MachineId> = part.iter().map(|(_, id)| id.clone()).collect();
-            tracing::warn!(machines = ?part, "deleted, as cancelled tasks may still run there");
+            self.note_deletion(&part, ids.first().map_or(now, |(deadline, _)| *deadline));
             self.cancellations.clearing.asked.extend(part.iter().map(|id| (id.clone(), now)));
             self.cloud(Call::Clear(part));
         }
     }
 
+    /// Machines are to be deleted, the first of which was due then.
+    fn note_deletion(&mut self, machines: &[MachineId], due: Micros) {
+        let now = self.now();
+        let late_ms = now.since(due).millis();
+        tracing::warn!(?machines, late_ms, "deletion asked for, as cancelled tasks may still run there");
+        let workers = &self.platform.deployment.workers;
+        let time_left = Micros::from_secs_f64(workers.cancel_s).since(self.clear_after());
+        if now.since(due) + CLEAR_AGAIN >= time_left {
+            self.audit.late_deletions += machines.len() as u64;
+        }
+    }
+
     /// Whether something of a cancelled job may be on the machine although its time for renewals is over.
     pub(super) fn is_overdue_on(&self, id: &MachineId) -> bool {
         let deadlines = &self.cancellations.clearing.deadlines;
@@ -136,12 +156,18 @@
         self.cancellations.clearing.cleared.contains_key(id)
     }
 
+    /// The cloud did not confirm a deletion. It is asked for again as long as it is due.
+    pub(super) fn clearing_failed(&self, machines: &[MachineId]) {
+        tracing::warn!(machines = machines.len(), first = ?machines.first(), "deletion not confirmed");
+    }
+
     /// Their deletion was confirmed: nothing is left on them, whether or not that can be written down now.
     pub(super) fn machines_cleared(&mut self, ids: Vec<MachineId>) {
         let now = self.now();
+        tracing::info!(machines = ids.len(), first = ?ids.first(), "deletion confirmed");
         for id in ids {
             for (job, task) in self.usage.starts_on(&id) {
-                self.start_gone(&job, task);
+                self.start_gone(&job, task, AbsenceProof::MachineDeleted);
             }
             self.leader.deleted.insert(id.clone(), now);
             self.cancellations.clearing.cleared.insert(id, None);
--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -1,6 +1,7 @@
 //! Which machines have failed: leases that have run out, probes, and the decision to replace a machine.
 
 use super::Core;
+use super::audit::AbsenceProof;
 use super::machines::Machine;
 use super::usage::Phase;
 use crate::bookkeeping::schema::{Hold, Role};
@@ -89,7 +90,7 @@
                     .and_then(|j| j.live.get(task))
                     .is_some_and(|l| l.session <= session && l.phase() != Phase::Decided);
                 if expired {
-                    self.start_gone(&job, task);
+                    self.start_gone(&job, task, AbsenceProof::LeaseExpired);
                 }
             }
         }
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs and their starts, kept in line with the replica and with what machines report.
 
 use super::Core;
+use super::audit::AbsenceProof;
 use super::failures::{Failure, FailureHistory};
 use super::pipelines::Urgency;
 use super::usage::{JobStarts, Phase, Start, Usage};
@@ -386,7 +387,7 @@
     }
 
     /// A start was proven not to be on its machine.
-    pub(super) fn start_gone(&mut self, id: &JobId, task: u32) {
+    pub(super) fn start_gone(&mut self, id: &JobId, task: u32, proof: AbsenceProof) {
         let now = self.now();
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(live) = job.live.get(task) else { return };
@@ -395,7 +396,9 @@
         }
         let machine = live.machine().clone();
         let start = live.clone();
-        tracing::debug!(job = %id, task, %machine, phase = ?live.phase(), seq = live.seq, "proven gone");
+        tracing::debug!(job = %id, task, %machine, phase = ?live.phase(), seq = live.seq, ?proof, "proven gone");
+        self.audit_gone(id, task, &machine, proof);
+        let Some(job) = self.jobs.get_mut(id) else { return };
         job.live.set_phase(task, Phase::Gone, &mut self.usage);
         job.dirty(now);
         self.note_zone_loss(&start);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -135,8 +135,7 @@
             }
             (Call::Delete(ids), CloudOutcome::Deleted) => self.deleted(ids),
             (Call::Clear(ids), CloudOutcome::Deleted) => self.machines_cleared(ids),
-            // Asked for again as long as it is due.
-            (Call::Clear(_), _) => {}
+            (Call::Clear(ids), _) => self.clearing_failed(&ids),
             (Call::Delete(ids), _) => self.leader.again.push((now + DELETE_AGAIN, Call::Delete(ids))),
         }
     }
--- a/src/coordination/lease_renewal.rs
+++ b/src/coordination/lease_renewal.rs
@@ -33,6 +33,7 @@
         for stop in self.stops_of_cancelled(report) {
             if !orders.contains(&stop) {
                 orders.push(stop);
+                self.audit.added_stops += 1;
             }
         }
         if complete && let Some(machine) = self.machines.get_mut(id) {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -1,5 +1,6 @@
 //! Machines: what their workers report, what they are told, and when they count as lost.
 
+use super::audit::AbsenceProof;
 use super::txns::{Draft, MachineChange, Purpose};
 use super::{Core, Effect, WorkerAnswer};
 use crate::bookkeeping::schema::{Hold, Key, MachineRecord, Role, to_value};
@@ -252,7 +253,7 @@
             None => {
                 // Deleted: whatever was on it is gone.
                 for (job, task) in self.usage.starts_on(id) {
-                    self.start_gone(&job, task);
+                    self.start_gone(&job, task, AbsenceProof::MachineStruckOut);
                 }
                 self.machines.remove(id);
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! controller; the daemon feeds it a queue of commands in batches. Everything a decision rests on
 //! is either in the state service (see [`crate::bookkeeping`]) or was proven by a worker's report.
 
+mod audit;
 mod boots;
 pub mod budget;
 mod cancellations;
@@ -95,6 +96,7 @@
     txns: txns::Txns,
     users: users::Users,
     cancellations: cancellations::Cancellations,
+    audit: audit::Audit,
     pipelines: pipelines::Pipelines,
     /// Jobs over because one that they need was cancelled, which their own keys don't say yet.
     cascaded: BTreeSet<JobId>,
@@ -181,6 +183,7 @@
             txns: txns::Txns::default(),
             users: users::Users::default(),
             cancellations: cancellations::Cancellations::default(),
+            audit: audit::Audit::default(),
             pipelines: pipelines::Pipelines::default(),
             cascaded: BTreeSet::new(),
             jobs: BTreeMap::new(),
@@ -284,6 +287,7 @@
         self.tick_types();
         self.tick_leader();
         self.write_cascaded();
+        self.audit_summary();
         self.pass_wanted = true;
     }
 
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to workers: what a machine is to be told, in the answer to its report or in a direct message, and what the
 //! answer to such a message proves.
 
+use super::audit::AbsenceProof;
 use super::reports::Source;
 use super::usage::Phase;
 use super::{Core, Effect, Failure, OrdersOutcome};
@@ -84,7 +85,7 @@
             }
         }
         for (job, task) in never_sent {
-            self.start_gone(&job, task);
+            self.start_gone(&job, task, AbsenceProof::NeverSent);
         }
         orders
     }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -1,5 +1,6 @@
 //! Reports of workers: which are new, what they prove about tasks, and what is answered.
 
+use super::audit::AbsenceProof;
 use super::machines::{Failures, Fetch, LastReport, UnrecordedTask};
 use super::usage::{Phase, Start};
 use super::zones::ZoneStart;
@@ -194,8 +195,10 @@
             // Not there, and no command of ours is on its way that could still start it.
             let absent = source == Source::Report && quiet && live.session == report.session && report.seq > live.seq;
             let unwanted = live.stop.is_some() || live.phase().on_machine();
-            if earlier_session || (absent && unwanted) {
-                self.start_gone(&job, task);
+            if earlier_session {
+                self.start_gone(&job, task, AbsenceProof::LaterSession);
+            } else if absent && unwanted {
+                self.start_gone(&job, task, AbsenceProof::Report);
             }
         }
     }
--- a/src/coordination/roles.rs
+++ b/src/coordination/roles.rs
@@ -394,18 +394,19 @@
         if mine == before {
             return;
         }
+        let revision = self.replica.applied.0;
         match mine {
             Some(term) => {
                 self.roles.held.insert(role, term);
                 if let (Role::Share(share), Some(_)) = (role, before) {
-                    tracing::debug!(?role, term = term.0, "has a new term");
+                    tracing::debug!(?role, term = term.0, revision, "has a new term");
                     return self.share_renewed(share);
                 }
-                tracing::info!(?role, term = term.0, "took over");
+                tracing::info!(?role, term = term.0, revision, "took over");
             }
             None => {
                 self.roles.held.remove(&role);
-                tracing::info!(?role, "lost");
+                tracing::info!(?role, revision, "lost");
             }
         }
         match role {
