--- a/crates/testbed/src/cloud.rs
+++ b/crates/testbed/src/cloud.rs
@@ -1,7 +1,7 @@
 //! A cloud: rents machines by zone, lists them, deletes them with all that is on them.
 
 use crate::http::{Call, Reply, serve};
-use crate::worker::{Link, Machine, RunningMachine, Surroundings, ZoneLink, start};
+use crate::worker::{Link, Machine, RunningMachine, Surroundings, WorkerTrouble, ZoneLink, start};
 use burlhatch::protocol::cloud::{MachineNames, Rental};
 use burlhatch::protocol::decode;
 use burlhatch::units::MachineId;
@@ -35,6 +35,7 @@
     next: u32,
     capacity: usize,
     dead_zones: BTreeSet<String>,
+    is_down: bool,
 }
 
 /// The service, and a handle on it for scenarios.
@@ -57,6 +58,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Refuses everybody, or serves again.
+    pub fn set_down(&self, is_down: bool) {
+        self.locked().is_down = is_down;
+    }
+
+    /// Something happens to the worker of the nth machine that is up.
+    pub fn trouble(&self, nth: usize, trouble: WorkerTrouble, duration: Duration) {
+        let state = self.locked();
+        let running: Vec<&RunningMachine> = state.rented.values().filter_map(|r| r.running.as_ref()).collect();
+        if let Some(machine) = (!running.is_empty()).then(|| running[nth % running.len()]) {
+            machine.trouble(trouble, duration);
+        }
+    }
+
     /// Begins to serve; says where.
     pub async fn start(&self) -> io::Result<(SocketAddr, JoinSet<()>)> {
         let cloud = self.clone();
@@ -103,6 +118,11 @@
         self.locked().rented.values().filter(|rented| rented.machine.zone == zone && rented.running.is_some()).count()
     }
 
+    /// Machines that are up.
+    pub fn machines_up(&self) -> usize {
+        self.locked().rented.values().filter(|rented| rented.running.is_some()).count()
+    }
+
     /// Rents machines, which come up a while later.
     pub fn rent(&self, zone: &str, spot: bool, count: u32) -> Vec<MachineId> {
         let mut state = self.locked();
@@ -140,6 +160,9 @@
     }
 
     fn answer(&self, call: &Call) -> Reply {
+        if self.locked().is_down {
+            return Some((503, json!({"error": "trouble"})));
+        }
         match (&call.method, call.path.as_str()) {
             (&Method::GET, "/flavors") => Some((200, self.types())),
             (&Method::GET, "/rentals") => Some((200, self.list(call.query.get("after").map_or("", String::as_str)))),
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -3,6 +3,7 @@
 use crate::cloud::Cloud;
 use crate::history::History;
 use crate::http::free_address;
+use crate::link::{Gate, proxy};
 use crate::state_service::StateService;
 use crate::worker::Surroundings;
 use burlhatch::transport::client::Client;
@@ -14,6 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -37,11 +39,31 @@
     pub policy: String,
     /// Without an answered report for so long a worker ends its tasks.
     pub lease: Duration,
+    /// Time in which a cancelled task has to be gone.
+    pub cancel: Duration,
+    /// Time between reports.
+    pub report_every: Duration,
+}
+
+/// The links of one controller, to be cut one by one.
+#[derive(Clone, Default)]
+pub struct Links {
+    /// To the state service.
+    pub state: Gate,
+    /// While set, the state service refuses this controller alone.
+    pub refused: Arc<AtomicBool>,
+    /// To the cloud.
+    pub cloud: Gate,
+    /// From all workers.
+    pub workers: Gate,
+    /// To all siblings.
+    pub siblings: Gate,
 }
 
 /// One controller.
 struct Controller {
     site: String,
+    links: Links,
     public: SocketAddr,
     settings: PathBuf,
     process: Option<Child>,
@@ -61,6 +83,16 @@
     _servers: Vec<JoinSet<()>>,
 }
 
+/// Where one controller listens and what it reaches, the latter through links that can be cut.
+struct Addresses {
+    public: SocketAddr,
+    back: SocketAddr,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    /// Its siblings, by their number.
+    siblings: BTreeMap<usize, SocketAddr>,
+}
+
 /// Why a scenario can't go on.
 #[derive(Debug, thiserror::Error)]
 pub enum ClusterError {
@@ -79,36 +111,57 @@
 
 /// Time between two looks at a condition.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
-const REPORT_S: f64 = 1.0;
 
 impl Cluster {
     /// Starts all services, the machines and the controllers, and waits until all controllers serve.
     pub async fn start(plan: ClusterPlan) -> Result<Cluster, ClusterError> {
         std::fs::create_dir_all(&plan.directory)?;
-        let addresses =
+        let listening =
             plan.sites.iter().map(|_| Ok((free_address()?, free_address()?))).collect::<io::Result<Vec<_>>>()?;
+        let links: Vec<Links> = plan.sites.iter().map(|_| Links::default()).collect();
         let label = |i: usize| format!("node-{i}");
+        let mut servers = Vec::new();
+        let mut controllers_for_workers = BTreeMap::new();
+        for (i, (public, _)) in listening.iter().enumerate() {
+            let (address, server) = proxy(*public, links[i].workers.clone()).await?;
+            servers.push(server);
+            controllers_for_workers.insert(label(i), address);
+        }
         let around = Surroundings {
-            controllers: addresses.iter().enumerate().map(|(i, (public, _))| (label(i), *public)).collect(),
+            controllers: controllers_for_workers,
             jobs: Arc::default(),
             history: History::default(),
-            report_every: Duration::from_secs_f64(REPORT_S),
+            report_every: plan.report_every,
             lease: plan.lease,
         };
         let state = StateService::default();
         let cloud = Cloud::new(&plan.zones, plan.capacity, around.clone());
-        let (state_address, state_server) = state.start().await?;
         let (cloud_address, cloud_server) = cloud.start().await?;
+        servers.push(cloud_server);
+        let mut addresses = Vec::new();
+        for (i, (public, back)) in listening.iter().copied().enumerate() {
+            let (state_address, state_server) = state.start(links[i].refused.clone()).await?;
+            let (state, state_link) = proxy(state_address, links[i].state.clone()).await?;
+            let (cloud, cloud_link) = proxy(cloud_address, links[i].cloud.clone()).await?;
+            servers.extend([state_server, state_link, cloud_link]);
+            let mut siblings = BTreeMap::new();
+            for (other, (_, back)) in listening.iter().enumerate().filter(|(other, _)| *other != i) {
+                let (address, link) = proxy(*back, links[i].siblings.clone()).await?;
+                servers.push(link);
+                siblings.insert(other, address);
+            }
+            addresses.push(Addresses { public, back, state, cloud, siblings });
+        }
         let policy = plan.directory.join("policy.json");
         std::fs::write(&policy, &plan.policy)?;
         let mut controllers = BTreeMap::new();
         for (i, site) in plan.sites.iter().enumerate() {
             let settings = plan.directory.join(format!("{}.toml", label(i)));
-            std::fs::write(&settings, settings_text(&plan, &addresses, i, state_address, cloud_address))?;
-            let controller = Controller { site: site.clone(), public: addresses[i].0, settings, process: None };
+            std::fs::write(&settings, settings_text(&plan, &addresses, i))?;
+            let (site, links) = (site.clone(), links[i].clone());
+            let controller = Controller { site, links, public: addresses[i].public, settings, process: None };
             controllers.insert(label(i), controller);
         }
-        let servers = vec![state_server, cloud_server];
         let client = Client::default();
         let mut cluster = Cluster { plan, controllers, state, cloud, around, client, _servers: servers };
         for zone in cluster.plan.zones.clone() {
@@ -134,6 +187,36 @@
         self.controllers.values().filter(|c| c.process.is_some()).map(|c| c.public).collect()
     }
 
+    /// All controllers' labels.
+    pub fn labels(&self) -> Vec<String> {
+        self.controllers.keys().cloned().collect()
+    }
+
+    /// The links of one controller.
+    pub fn links(&self, label: &str) -> Links {
+        self.controllers.get(label).map(|controller| controller.links.clone()).unwrap_or_default()
+    }
+
+    /// Starts a controller that does not run.
+    pub fn revive_controller(&mut self, label: &str) -> io::Result<()> {
+        let running = self.controllers.get(label).is_none_or(|controller| controller.process.is_some());
+        if running { Ok(()) } else { self.start_controller(label) }
+    }
+
+    /// Controllers whose processes ended by themselves since they were started.
+    pub fn ended_by_themselves(&mut self) -> Vec<String> {
+        let ended = |c: &mut Controller| c.process.as_mut().is_some_and(|p| matches!(p.try_wait(), Ok(Some(_))));
+        self.controllers.iter_mut().filter_map(|(label, c)| ended(c).then(|| label.clone())).collect()
+    }
+
+    /// Lets a controller's process stand still, or go on.
+    pub fn pause_controller(&self, label: &str, pause: bool) {
+        if let Some(process) = self.controllers.get(label).and_then(|controller| controller.process.as_ref()) {
+            let signal = if pause { "-STOP" } else { "-CONT" };
+            let _ = Command::new("kill").arg(signal).arg(process.id().to_string()).status();
+        }
+    }
+
     fn start_controller(&mut self, label: &str) -> io::Result<()> {
         let Some(controller) = self.controllers.get_mut(label) else { return Ok(()) };
         let log = File::options().append(true).create(true).open(controller.settings.with_extension("log"))?;
@@ -218,29 +301,24 @@
     }
 }
 
-fn settings_text(
-    plan: &ClusterPlan,
-    addresses: &[(SocketAddr, SocketAddr)],
-    own: usize,
-    state: SocketAddr,
-    cloud: SocketAddr,
-) -> String {
-    let (public, back) = addresses[own];
+fn settings_text(plan: &ClusterPlan, addresses: &[Addresses], own: usize) -> String {
+    let Addresses { public, back, state, cloud, siblings, .. } = &addresses[own];
     let mut text = format!(
         "label = \"node-{own}\"\nsite = \"{}\"\npublic_addr = \"{public}\"\nback = \"{back}\"\n",
         plan.sites[own]
     );
-    for (i, (_, sibling)) in addresses.iter().enumerate().filter(|(i, _)| *i != own) {
-        text += &format!("[[siblings]]\nlabel = \"node-{i}\"\nsite = \"{}\"\naddress = \"{sibling}\"\n", plan.sites[i]);
+    for (i, sibling) in siblings {
+        text +=
+            &format!("[[siblings]]\nlabel = \"node-{i}\"\nsite = \"{}\"\naddress = \"{sibling}\"\n", plan.sites[*i]);
     }
     text += &format!("[external]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n");
     text += &format!("[deployment]\nnodes = {}\nzones = {:?}\n", addresses.len(), plan.zones);
     for team in ["auction", "invoices"] {
         text += &format!("[[deployment.teams]]\nname = \"{team}\"\n");
     }
-    let lease_s = plan.lease.as_secs_f64();
-    text += &format!("[deployment.workers]\nreport_s = {REPORT_S:?}\nlease_s = {lease_s:?}\ngang_wait_s = 20.0\n");
-    text += &format!("gang_peer_s = 5.0\ncancel_s = {:?}\n", lease_s + 20.0);
+    let [report_s, lease_s, cancel_s] = [plan.report_every, plan.lease, plan.cancel].map(|span| span.as_secs_f64());
+    text += &format!("[deployment.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 20.0\n");
+    text += &format!("gang_peer_s = 5.0\ncancel_s = {cancel_s:?}\n");
     text += "[deployment.state]\nrps = 1000.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 12\n";
     text += "[deployment.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n[deployment.quota]\nfd_limit = 1000\n";
     text
--- a/crates/testbed/src/history.rs
+++ b/crates/testbed/src/history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One thing that happened, in the order in which it did.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,6 +82,61 @@
     checker.found
 }
 
+/// What became of cancelled jobs' tasks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Cancellations {
+    /// Jobs that a user was told to be cancelled.
+    pub told: usize,
+    /// Tasks that came to a machine after that.
+    pub begun_after: usize,
+    /// The longest time after that in which a task was on a machine.
+    pub longest_us: u64,
+    /// What was on a machine, or came there, after the time allowed.
+    pub late: Vec<String>,
+}
+
+/// Compares what was on machines with when any user was first told that its job is cancelled.
+pub fn cancellations(events: &[Timed], allowed: Duration) -> Cancellations {
+    let allowed = allowed.as_micros() as u64;
+    let mut told: BTreeMap<&str, u64> = BTreeMap::new();
+    for (at, event) in events {
+        if let Event::Told { job, status, .. } = event
+            && status == "withdrawn"
+        {
+            told.entry(job).or_insert(*at);
+        }
+    }
+    let told_of = |task: &str| task.rsplit_once('/').and_then(|(job, _)| told.get(job)).copied();
+    let mut found = Cancellations { told: told.len(), ..Cancellations::default() };
+    let mut on: BTreeSet<(&str, &str)> = BTreeSet::new();
+    for (at, event) in events {
+        match event {
+            Event::Begun { machine, task } => {
+                on.insert((machine, task));
+                let after = told_of(task).and_then(|told| at.checked_sub(told));
+                found.begun_after += usize::from(after.is_some());
+                if after.is_some_and(|after| after > allowed) {
+                    found.late.push(format!("{at} us: ran_cancelled: {task} begins on {machine}"));
+                }
+            }
+            Event::Left { machine, task, .. } => {
+                on.remove(&(machine.as_str(), task.as_str()));
+                let Some(after) = told_of(task).and_then(|told| at.checked_sub(told)) else { continue };
+                found.longest_us = found.longest_us.max(after);
+                if after > allowed {
+                    found.late.push(format!("{at} us: ran_cancelled: {task} was on {machine} until now"));
+                }
+            }
+            Event::Told { .. } => {}
+        }
+    }
+    let end = events.last().map_or(0, |(at, _)| *at);
+    let over = |task: &str| told_of(task).is_some_and(|told| end.saturating_sub(told) > allowed);
+    let left = on.into_iter().filter(|(_, task)| over(task));
+    found.late.extend(left.map(|(machine, task)| format!("{end} us: ran_cancelled: {task} is still on {machine}")));
+    found
+}
+
 #[derive(Default)]
 struct Checker {
     /// Machines on which each task is.
--- a/crates/testbed/src/scenarios.rs
+++ b/crates/testbed/src/scenarios.rs
@@ -57,10 +57,12 @@
         capacity: 30,
         policy: policy.to_string(),
         lease: Duration::from_secs(45),
+        cancel: Duration::from_secs(65),
+        report_every: Duration::from_secs(1),
     }
 }
 
-fn spec(kind: Kind, team: &str, tasks: u32) -> JobSpec {
+pub(crate) fn spec(kind: Kind, team: &str, tasks: u32) -> JobSpec {
     JobSpec {
         class: team.into(),
         team: Some(team.into()),
--- a/crates/testbed/src/state_service.rs
+++ b/crates/testbed/src/state_service.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -116,21 +117,40 @@
 /// The service, and a handle on it for scenarios.
 #[derive(Clone, Default)]
 pub struct StateService {
+    late: Arc<Mutex<(u64, Duration)>>,
+    transactions: Arc<AtomicU64>,
     store: Arc<Mutex<Store>>,
     changed: Arc<Notify>,
 }
 
 impl StateService {
-    /// Begins to serve; says where.
-    pub async fn start(&self) -> io::Result<(SocketAddr, JoinSet<()>)> {
+    /// Begins to serve one controller; says where. While the flag is set, that one is refused.
+    pub async fn start(&self, refused: Arc<AtomicBool>) -> io::Result<(SocketAddr, JoinSet<()>)> {
         let service = self.clone();
         serve(move |call| {
-            let service = service.clone();
-            async move { service.answer(call).await }
+            let (service, refused) = (service.clone(), refused.clone());
+            async move {
+                if refused.load(Ordering::SeqCst) {
+                    return Some((503, json!({"error": "trouble"})));
+                }
+                service.answer(call).await
+            }
         })
         .await
     }
 
+    /// Transactions, one in so many, get no answer and are carried out so much later; none if it is 0.
+    pub fn set_late(&self, one_in: u64, by: Duration) {
+        *self.late.lock().unwrap_or_else(PoisonError::into_inner) = (one_in, by);
+    }
+
+    /// How late the next transaction is to be carried out, if it is among the late ones.
+    fn lateness(&self) -> Option<Duration> {
+        let (one_in, by) = *self.late.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = self.transactions.fetch_add(1, Ordering::SeqCst);
+        (one_in > 0 && count.is_multiple_of(one_in)).then_some(by)
+    }
+
     fn locked(&self) -> MutexGuard<'_, Store> {
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -178,6 +198,14 @@
         match (&call.method, call.path.as_str()) {
             (&Method::POST, "/txn") => {
                 let Ok(txn) = decode::<Txn>(&call.body) else { return Some((400, json!({"error": "malformed"}))) };
+                if let Some(late) = self.lateness() {
+                    let service = self.clone();
+                    tokio::spawn(async move {
+                        tokio::time::sleep(late).await;
+                        service.carry_out_late(&txn);
+                    });
+                    return None;
+                }
                 let reply = self.locked().txn(&txn);
                 self.changed.notify_waiters();
                 Some(reply)
@@ -194,6 +222,16 @@
         }
     }
 
+    /// Carries a transaction out for which nobody waits any more.
+    fn carry_out_late(&self, txn: &Txn) {
+        let mut store = self.locked();
+        if !store.is_down {
+            store.expire();
+            store.txn(txn);
+        }
+        self.changed.notify_waiters();
+    }
+
     async fn watch(&self, after: u64, wait: Duration) -> Value {
         let until = tokio::time::Instant::now() + wait;
         loop {
--- a/crates/testbed/src/users.rs
+++ b/crates/testbed/src/users.rs
@@ -16,6 +16,7 @@
 
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 const RETRY: Duration = Duration::from_millis(300);
+const TRIES: usize = 200;
 /// One question every so often.
 const ASK_EVERY: Duration = Duration::from_millis(40);
 
@@ -27,7 +28,7 @@
     /// Where they ask.
     targets: Arc<Mutex<Vec<SocketAddr>>>,
     history: History,
-    _asking: JoinSet<()>,
+    asking: JoinSet<()>,
 }
 
 impl Users {
@@ -38,7 +39,7 @@
         let history = cluster.around.history.clone();
         let mut asking = JoinSet::new();
         asking.spawn(ask_on(told.clone(), targets.clone(), history.clone()));
-        Users { client: Client::default(), jobs: BTreeMap::new(), told, targets, history, _asking: asking }
+        Users { client: Client::default(), jobs: BTreeMap::new(), told, targets, history, asking }
     }
 
     /// Controllers have come or gone: users are sent to those that run.
@@ -60,20 +61,39 @@
         self.repeat(&format!("/api/jobs/{id}/abort"), &encode(&Value::Null), id).await
     }
 
-    async fn repeat(&self, path: &str, body: &[u8], id: &str) -> bool {
-        for n in 0..100 {
-            let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            let target = targets[n % targets.len()];
-            let asked_us = self.history.now_us();
-            if let Ok(answer) = self.client.call(target, Method::POST, path, body.to_vec(), CALL_LIMIT).await
-                && matches!(answer.status, 200 | 201)
-            {
-                note(&self.told, &self.history, id, 200, &answer.body, asked_us);
-                return true;
-            }
-            tokio::time::sleep(RETRY).await;
+    /// Submits a job without waiting for the answer.
+    pub fn ask_to_take(&mut self, cluster: &Cluster, id: &str, spec: JobSpec) {
+        let mut body = serde_json::to_value(&spec).unwrap_or(Value::Null);
+        body["id"] = json!(id);
+        self.jobs.insert(id.to_string(), spec.tasks);
+        cluster.around.jobs.lock().unwrap_or_else(PoisonError::into_inner).insert(JobId::new(id), spec);
+        self.repeat_aside("/api/jobs".into(), encode(&body), id, Duration::from_secs(60));
+    }
+
+    /// Calls a job off without waiting for the answer, and repeats that for so long.
+    pub fn ask_to_cancel(&mut self, id: &str, patience: Duration) {
+        self.repeat_aside(format!("/api/jobs/{id}/abort"), encode(&Value::Null), id, patience);
+    }
+
+    fn repeat_aside(&mut self, path: String, body: Vec<u8>, id: &str, patience: Duration) {
+        let (asker, id) = (self.asker(), id.to_string());
+        while self.asking.try_join_next().is_some() {}
+        self.asking.spawn(async move {
+            let _ = tokio::time::timeout(patience, asker.repeat(&path, &body, &id)).await;
+        });
+    }
+
+    fn asker(&self) -> Asker {
+        Asker {
+            client: self.client.clone(),
+            told: self.told.clone(),
+            targets: self.targets.clone(),
+            history: self.history.clone(),
         }
-        false
+    }
+
+    async fn repeat(&self, path: &str, body: &[u8], id: &str) -> bool {
+        self.asker().repeat(path, body, id).await
     }
 
     /// The last status that was told of a job.
@@ -87,6 +107,33 @@
     }
 }
 
+/// One user who repeats a request until it is answered.
+struct Asker {
+    client: Client,
+    told: Arc<Mutex<BTreeMap<String, String>>>,
+    targets: Arc<Mutex<Vec<SocketAddr>>>,
+    history: History,
+}
+
+impl Asker {
+    async fn repeat(&self, path: &str, body: &[u8], id: &str) -> bool {
+        for n in 0..TRIES {
+            let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            if let Some(target) = targets.get(n % targets.len().max(1)) {
+                let asked_us = self.history.now_us();
+                if let Ok(answer) = self.client.call(*target, Method::POST, path, body.to_vec(), CALL_LIMIT).await
+                    && matches!(answer.status, 200 | 201)
+                {
+                    note(&self.told, &self.history, id, 200, &answer.body, asked_us);
+                    return true;
+                }
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+        false
+    }
+}
+
 fn note(told: &Mutex<BTreeMap<String, String>>, history: &History, id: &str, status: u16, body: &[u8], asked_us: u64) {
     let body: Value = decode(body).unwrap_or(Value::Null);
     let status = if status == 404 { Some("unknown") } else { body["status"].as_str() };
--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -8,6 +8,7 @@
 use burlhatch::transport::client::Client;
 use burlhatch::units::{JobId, MachineId, TaskId, Term};
 use hyper::Method;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -48,6 +49,46 @@
     }
 }
 
+/// What happens to one worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkerTrouble {
+    /// It stands still, and goes on with what has come meanwhile if its lease lasts.
+    Hung,
+    /// Its reports arrive; answers and direct commands don't.
+    Deaf,
+    /// Its reports reach nobody; direct commands do.
+    Mute,
+    /// Direct commands are held up on their way, unanswered, and carried out when the trouble is over.
+    LateCommands,
+}
+
+/// Until when each trouble lasts.
+#[derive(Default)]
+struct Troubles(Mutex<Vec<(WorkerTrouble, Instant)>>);
+
+impl Troubles {
+    fn add(&self, trouble: WorkerTrouble, duration: Duration) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push((trouble, Instant::now() + duration));
+    }
+
+    fn until(&self, trouble: WorkerTrouble) -> Option<Instant> {
+        let now = Instant::now();
+        let troubles = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        troubles.iter().filter(|(kind, until)| *kind == trouble && *until > now).map(|(_, until)| *until).max()
+    }
+
+    fn has(&self, trouble: WorkerTrouble) -> bool {
+        self.until(trouble).is_some()
+    }
+
+    /// Waits until a trouble is over.
+    async fn outlast(&self, trouble: WorkerTrouble) {
+        while let Some(until) = self.until(trouble) {
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+}
+
 /// What all machines of a run share.
 #[derive(Clone)]
 pub struct Surroundings {
@@ -94,11 +135,28 @@
     exited: BTreeMap<(String, u64), ExitCause>,
     images: BTreeSet<String>,
     changed: bool,
+    /// When a higher token last counted as a change.
+    token_change: Option<Instant>,
+}
+
+impl WorkerState {
+    /// Keeps the highest token. A higher one is reported at once, though only one time within half a lease.
+    fn take_token(&mut self, token: Term, lease: Duration) {
+        if token <= self.token {
+            return;
+        }
+        self.token = token;
+        if self.token_change.is_none_or(|at| at.elapsed() >= lease / 2) {
+            self.token_change = Some(Instant::now());
+            self.changed = true;
+        }
+    }
 }
 
 struct Worker {
     machine: Machine,
     link: ZoneLink,
+    troubles: Troubles,
     around: Surroundings,
     state: Mutex<WorkerState>,
 }
@@ -117,6 +175,11 @@
         state.tasks.iter().filter(|(_, task)| task.state == TaskState::Running).map(|(name, _)| name.clone()).collect()
     }
 
+    /// Something happens to its worker.
+    pub fn trouble(&self, trouble: WorkerTrouble, duration: Duration) {
+        self.worker.troubles.add(trouble, duration);
+    }
+
     /// Its zone.
     pub fn zone(&self) -> &str {
         &self.worker.machine.zone
@@ -143,12 +206,21 @@
         exited: BTreeMap::new(),
         images: BTreeSet::new(),
         changed: true,
+        token_change: None,
     };
-    let worker = Arc::new(Worker { machine, link, around, state: Mutex::new(state) });
+    let worker = Arc::new(Worker { machine, link, troubles: Troubles::default(), around, state: Mutex::new(state) });
     let orders = worker.clone();
     let (address, server) = serve(move |call| {
         let worker = orders.clone();
-        async move { worker.direct(&call) }
+        async move {
+            if worker.troubles.has(WorkerTrouble::Deaf) {
+                return None;
+            }
+            let late = worker.troubles.has(WorkerTrouble::LateCommands);
+            worker.troubles.outlast(WorkerTrouble::LateCommands).await;
+            worker.troubles.outlast(WorkerTrouble::Hung).await;
+            worker.direct(&call).filter(|_| !late)
+        }
     })
     .await?;
     let mut tasks = JoinSet::new();
@@ -169,17 +241,20 @@
     let labels: Vec<String> = worker.around.controllers.keys().cloned().collect();
     let mut at = 0;
     loop {
+        worker.troubles.outlast(WorkerTrouble::Hung).await;
         let sent = Instant::now();
         let report = worker.locked_report(address);
         let session = report.session;
         let controller = worker.around.controllers[&labels[at % labels.len()]];
-        let answer = if worker.link.is_cut() {
+        let answer = if worker.link.is_cut() || worker.troubles.has(WorkerTrouble::Mute) {
             tokio::time::sleep(REPORT_LIMIT).await;
             None
         } else {
             client.call(controller, Method::POST, "/checkin", encode(&report), REPORT_LIMIT).await.ok()
         };
-        let answer = answer.filter(|_| !worker.link.is_cut());
+        worker.troubles.outlast(WorkerTrouble::Hung).await;
+        let lost = worker.link.is_cut() || worker.troubles.has(WorkerTrouble::Deaf) || sent.elapsed() > REPORT_LIMIT;
+        let answer = answer.filter(|_| !lost);
         let pause = match answer {
             Some(answer) if answer.status == 200 => {
                 if let Ok(orders) = decode::<Orders>(&answer.body) {
@@ -257,8 +332,7 @@
         if orders.token < state.token || session != state.session {
             return;
         }
-        state.changed |= orders.token > state.token;
-        state.token = orders.token;
+        state.take_token(orders.token, self.around.lease);
         state.renewed = state.renewed.max(sent);
         self.obey(&mut state, &orders.orders);
     }
@@ -274,8 +348,7 @@
         let mut state = self.locked();
         let fits = orders.token >= state.token && orders.session == state.session;
         if fits {
-            state.changed |= orders.token > state.token;
-            state.token = orders.token;
+            state.take_token(orders.token, self.around.lease);
             self.obey(&mut state, &orders.orders);
         }
         let report = self.report(&mut state, None);
@@ -336,6 +409,10 @@
             state.renewed = now;
             state.changed = true;
         }
+        // Its lease runs out while it hangs, too; nothing else goes on.
+        if self.troubles.has(WorkerTrouble::Hung) {
+            return;
+        }
         let due = state.tasks.iter().filter(|(_, task)| task.due.is_some_and(|due| due <= now));
         let due: Vec<String> = due.map(|(name, _)| name.clone()).collect();
         for name in due {
