--- a/crates/testbed/src/troubles.rs
+++ b/crates/testbed/src/troubles.rs
@@ -24,7 +24,7 @@
     StateHeld(usize),
     /// It loses state service and siblings, not its workers.
     StateAndSiblingsReset(usize),
-    /// The same, and no worker reaches its siblings: whoever takes over can't reach the machines.
+    /// The same, and workers reach nobody but it, by their reports: whoever takes over can't reach the machines.
     WorkersReachOnly(usize),
     /// Its links to siblings are reset.
     SiblingsReset(usize),
@@ -136,18 +136,24 @@
                     set(&links.workers, Passage::Reset);
                 }
             }
+            if begins {
+                trouble_workers(cluster, 1, WorkerTrouble::Unreachable, planned);
+            }
         }
         Trouble::SiblingsReset(n) => set(&cluster.links(&label(n)).siblings, Passage::Reset),
         Trouble::WorkersHeld(n) => set(&cluster.links(&label(n)).workers, Passage::Held),
         Trouble::StateDown => cluster.state.set_down(begins),
         Trouble::LateWrites => cluster.state.set_late(if begins { LATE_ONE_IN } else { 0 }, Duration::from_secs(3)),
         Trouble::CloudDown => cluster.cloud.set_down(begins),
-        Trouble::Workers(one_in, trouble) if begins => {
-            let duration = Duration::from_millis(planned.for_ms);
-            let machines = cluster.cloud.machines_up();
-            (0..machines).step_by(one_in.max(1)).for_each(|nth| cluster.cloud.trouble(nth, trouble, duration));
-        }
+        Trouble::Workers(one_in, trouble) if begins => trouble_workers(cluster, one_in, trouble, planned),
         Trouble::Workers(..) => {}
     }
     Ok(())
 }
+
+/// Something happens to one in so many machines, beginning with the first.
+fn trouble_workers(cluster: &Cluster, one_in: usize, trouble: WorkerTrouble, planned: &Planned) {
+    let duration = Duration::from_millis(planned.for_ms);
+    let machines = cluster.cloud.machines_up();
+    (0..machines).step_by(one_in.max(1)).for_each(|nth| cluster.cloud.trouble(nth, trouble, duration));
+}
--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -58,6 +58,8 @@
     Deaf,
     /// Its reports reach nobody; direct commands do.
     Mute,
+    /// Direct commands don't reach it; answers to its reports do.
+    Unreachable,
     /// Direct commands are held up on their way, unanswered, and carried out when the trouble is over.
     LateCommands,
 }
@@ -213,7 +215,7 @@
     let (address, server) = serve(move |call| {
         let worker = orders.clone();
         async move {
-            if worker.troubles.has(WorkerTrouble::Deaf) {
+            if worker.troubles.has(WorkerTrouble::Deaf) || worker.troubles.has(WorkerTrouble::Unreachable) {
                 return None;
             }
             let late = worker.troubles.has(WorkerTrouble::LateCommands);
--- a/tests/rules/cancellations.rs
+++ b/tests/rules/cancellations.rs
@@ -1,6 +1,6 @@
 //! Cancellations that meet other troubles: once a user was told, nothing of the job may be left in time.
 
-use super::world::{CANCEL_S, LARGE, MS, Place, S, SHORT_LEASES, SLOW_REPORTS, SMALL, Size, TIMES, World};
+use super::world::{CANCEL_S, LARGE, MS, Place, S, SHORT_LEASES, SLOW_REPORTS, SMALL, Size, TIMES, Times, World};
 use super::{assert_clean, finish, keeping_idle_machines, seeds};
 use burlhatch::protocol::user::{JobState, Kind};
 use burlhatch::units::JobId;
@@ -17,6 +17,11 @@
     ids.collect()
 }
 
+/// Workers' times of three deployments in turn.
+fn times_of(seed: u64) -> Times {
+    [TIMES, SLOW_REPORTS, SHORT_LEASES][seed as usize % 3]
+}
+
 fn cancel_at(world: &mut World, ids: &[JobId], delay: u64) {
     let at = world.now + delay;
     for id in ids {
@@ -214,23 +219,24 @@
 /// is left who could delete the machines. A cancellation may only be told once the machines obey who knows of it.
 #[test]
 fn a_deposed_holder_renews_leases_and_nobody_can_delete_the_machines() {
-    for seed in seeds(24, 8) {
-        let mut world = World::sized(seed, keeping_idle_machines(), Size { machines: 8, ..SMALL });
+    for seed in seeds(24, 12) {
+        let times = times_of(seed);
+        let mut world = World::sized(seed, keeping_idle_machines(), Size { machines: 8, times, ..SMALL });
         let ids = long_jobs(&mut world, 6, 3);
         world.run_for(25 * S);
         let owner = world.holder(&format!("share/{}", seed % 3)).expect("owned");
-        leave_workers_with(&mut world, owner, (CANCEL_S + 40) * S);
+        leave_workers_with(&mut world, owner, times.cancel + 40 * S);
         cancel_at(&mut world, &ids, 0);
         world.run_for(4 * S);
-        if seed % 2 == 0 {
-            world.state_outage((CANCEL_S + 20) * S);
+        if seed / 3 % 2 == 0 {
+            world.state_outage(times.cancel + 20 * S);
             for node in (0..3).filter(|node| *node != owner) {
                 world.crash(node, 4 * S);
             }
         } else {
-            world.cloud_outage((CANCEL_S + 20) * S);
+            world.cloud_outage(times.cancel + 20 * S);
         }
-        world.run_for((CANCEL_S + 27) * S);
+        world.run_for(times.cancel + 27 * S);
         assert_clean(&world, &format!("deposed {seed}"));
         finish(&mut world, &format!("deposed {seed}"));
     }
@@ -242,7 +248,7 @@
 #[test]
 fn terms_in_quick_succession_do_not_keep_stops_back() {
     for seed in seeds(25, 6) {
-        let times = [TIMES, SLOW_REPORTS, SHORT_LEASES][seed as usize % 3];
+        let times = times_of(seed);
         let size = Size { machines: 60, capacity: 70, times, ..LARGE };
         let mut world = World::sized(seed, keeping_idle_machines(), size);
         let mut ids = Vec::new();
@@ -276,10 +282,13 @@
 /// alive in which the start is valid.
 #[test]
 fn a_start_held_up_for_long_is_void_with_its_session() {
-    for seed in seeds(26, 8) {
-        let mut world = World::with_policy(seed, keeping_idle_machines());
+    for seed in seeds(26, 24) {
+        let times = times_of(seed);
+        let mut world = World::sized(seed, keeping_idle_machines(), Size { times, ..SMALL });
+        // So that something runs in any case.
+        world.submit(50, World::spec(Kind::Array, "green", 2, 1.0));
         world.run_for(20 * S);
-        world.late_commands(4 * S, 1, (CANCEL_S + 5) * S..(CANCEL_S + 12) * S);
+        world.late_commands(4 * S, 1, times.cancel + 5 * S..times.cancel + 12 * S);
         let mut ids = Vec::new();
         for n in 0..3 {
             let spec = World::spec(Kind::Service, ["red", "blue", "green"][n as usize % 3], 2, 1.0);
@@ -289,9 +298,9 @@
         cancel_at(&mut world, &ids, 0);
         world.run_for(S);
         assert!(told(&world, &ids) > 0, "{seed}: nobody was told");
-        world.state_outage((CANCEL_S + 20) * S);
-        world.cloud_outage((CANCEL_S + 20) * S);
-        world.run_for((CANCEL_S + 25) * S);
+        world.state_outage(times.cancel + 20 * S);
+        world.cloud_outage(times.cancel + 20 * S);
+        world.run_for(times.cancel + 25 * S);
         assert_clean(&world, &format!("held start {seed}"));
         finish(&mut world, &format!("held start {seed}"));
     }
