--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -2,8 +2,9 @@
 //! answer to such a message proves.
 
 use super::audit::AbsenceProof;
+use super::machines::{Machine, UnrecordedTask};
 use super::reports::Source;
-use super::usage::Phase;
+use super::usage::{Phase, Start};
 use super::{Core, Effect, Failure, OrdersOutcome};
 use crate::bookkeeping::schema::Hold;
 use crate::protocol::worker::{DirectOrders, Order};
@@ -13,6 +14,47 @@
 /// Commands in one message at most, so that it stays below the size limit.
 pub(super) const ORDERS_MAX: usize = 300;
 
+/// What a recorded start's machine is to be told of it.
+enum NextStep {
+    /// Nothing: it goes on, or has ended.
+    Nothing,
+    /// Nothing, as its command was never sent and it is not wanted any more.
+    Drop,
+    Start,
+    Stop {
+        grace_s: f64,
+    },
+}
+
+impl NextStep {
+    /// `doomed`: its machine is to be deleted, and nothing more starts there.
+    fn of(start: &Start, doomed: bool) -> NextStep {
+        match (start.phase(), start.stop) {
+            (Phase::Recorded, None) if !doomed => NextStep::Start,
+            (Phase::Recorded, Some(_)) if !start.sent => NextStep::Drop,
+            (Phase::Recorded | Phase::Fetching | Phase::Waiting | Phase::Running, Some(grace_s)) => {
+                NextStep::Stop { grace_s }
+            }
+            // Told to stop while it saves: it ends at once.
+            (Phase::Saving, Some(0.0)) => NextStep::Stop { grace_s: 0.0 },
+            _ => NextStep::Nothing,
+        }
+    }
+}
+
+/// Tasks in no record are stopped, and forgotten once no copy of their start can be on its way: it would start them again.
+fn orders_for_unrecorded(machine: &Machine) -> Vec<Order> {
+    let may_forget = machine.unacknowledged.is_none() && !machine.direct;
+    let order = |unrecorded: &UnrecordedTask| {
+        let (task, attempt) = (unrecorded.task.clone(), unrecorded.attempt);
+        match unrecorded.exited {
+            false => Some(Order::Stop { task, attempt, grace_s: 0.0 }),
+            true => (may_forget && unrecorded.forgettable()).then_some(Order::Forget { task, attempt }),
+        }
+    };
+    machine.unrecorded.iter().filter_map(order).collect()
+}
+
 impl Core {
     pub(super) fn want_push(&mut self, id: &MachineId) {
         if let Some(machine) = self.machines.get_mut(id) {
@@ -40,45 +82,29 @@
     pub(super) fn orders_for(&mut self, id: &MachineId, seq: Option<u64>) -> Vec<Order> {
         let Some(machine) = self.machines.get(id) else { return Vec::new() };
         let doomed = self.replica.machines.get(id).is_none_or(|m| m.value.hold == Some(Hold::Doomed));
-        let mut orders = Vec::new();
-        // A copy of a start may be on its way: then forgetting the task would let it start again.
-        let may_forget = machine.unacknowledged.is_none() && !machine.direct;
-        for unrecorded in &machine.unrecorded {
-            let (task, attempt) = (unrecorded.task.clone(), unrecorded.attempt);
-            if !unrecorded.exited {
-                orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
-            } else if may_forget && unrecorded.forgettable() {
-                orders.push(Order::Forget { task, attempt });
-            }
-        }
-        let starts = self.usage.starts_on(id);
         let session = machine.session;
+        let mut orders = orders_for_unrecorded(machine);
         let mut never_sent = Vec::new();
-        for (job_id, index) in starts {
-            let Some(job) = self.jobs.get_mut(&job_id) else { continue };
-            let Some(live) = job.live.get_mut(index) else { continue };
-            if live.session != session {
+        for (job_id, index) in self.usage.starts_on(id) {
+            let Some(start) = self.jobs.get_mut(&job_id).and_then(|job| job.live.get_mut(index)) else { continue };
+            if start.session != session {
                 continue;
             }
-            let task = format!("{job_id}/{index}");
-            let attempt = live.attempt;
-            match (live.phase(), live.stop) {
-                (Phase::Recorded, None) if !doomed => {
-                    live.sent = true;
-                    orders.push(Order::Start { task, attempt });
-                }
-                (Phase::Recorded, Some(_)) if !live.sent => {
+            let (task, attempt) = (format!("{job_id}/{index}"), start.attempt);
+            match NextStep::of(start, doomed) {
+                NextStep::Nothing => continue,
+                NextStep::Drop => {
                     never_sent.push((job_id, index));
                     continue;
                 }
-                (Phase::Recorded | Phase::Fetching | Phase::Waiting | Phase::Running, Some(grace_s)) => {
-                    orders.push(Order::Stop { task, attempt, grace_s });
+                NextStep::Start => {
+                    start.sent = true;
+                    orders.push(Order::Start { task, attempt });
                 }
-                (Phase::Saving, Some(0.0)) => orders.push(Order::Stop { task, attempt, grace_s: 0.0 }),
-                _ => continue,
+                NextStep::Stop { grace_s } => orders.push(Order::Stop { task, attempt, grace_s }),
             }
             if let Some(seq) = seq {
-                live.seq = live.seq.max(seq);
+                start.seq = start.seq.max(seq);
             }
             if orders.len() >= ORDERS_MAX {
                 break;
