--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -194,7 +194,9 @@
         }
         if ids.len() > 1 {
             // One of them may be all that the holder can't vouch for.
-            self.cancellations.ask_alone.extend(ids);
+            let Cancellations { ask_alone, waiting, .. } = &mut self.cancellations;
+            ask_alone.extend(ids);
+            ask_alone.retain(|id| waiting.contains_key(id));
             return;
         }
         for id in ids {
