--- a/tests/rules/cancellations.rs
+++ b/tests/rules/cancellations.rs
@@ -172,19 +172,7 @@
         let ids = long_jobs(&mut world, 6, 3);
         world.run_for(25 * S);
         let owner = world.holder(&format!("share/{}", seed % 3)).expect("owned");
-        let mine = move |place: &Place| *place == Place::Node(owner);
-        // All workers hear the old owner only, and it hears nobody else.
-        world.cut((CANCEL_S + 30) * S, true, move |a, b| match (a, b) {
-            (Place::Worker(_), Place::Node(_)) | (Place::Node(_), Place::Worker(_)) => !mine(a) && !mine(b),
-            _ => mine(a) || mine(b),
-        });
-        world.run_for(6 * S);
-        let mut waited = 0;
-        while world.unowned_shares() > 0 && waited < 2 * S {
-            world.run_for(100 * MS);
-            waited += 100 * MS;
-        }
-        assert_eq!(world.unowned_shares(), 0, "{seed}: taken over");
+        leave_workers_with(&mut world, owner, (CANCEL_S + 30) * S, seed);
         cancel_at(&mut world, &ids, 0);
         world.run_for(3 * S);
         assert!(told(&world, &ids) > 0, "{seed}: nobody was told");
@@ -199,7 +187,7 @@
 
 /// Nobody but one controller hears the workers, and it hears nobody else: not the state service, which gives its share
 /// to a sibling, nor the siblings.
-fn leave_workers_with(world: &mut World, owner: usize, duration: u64) {
+fn leave_workers_with(world: &mut World, owner: usize, duration: u64, seed: u64) {
     let mine = move |place: &Place| *place == Place::Node(owner);
     world.cut(duration, true, move |a, b| match (a, b) {
         (Place::Worker(_), Place::Node(_)) | (Place::Node(_), Place::Worker(_)) => !mine(a) && !mine(b),
@@ -211,7 +199,7 @@
         world.run_for(100 * MS);
         waited += 100 * MS;
     }
-    assert_eq!(world.unowned_shares(), 0, "taken over");
+    assert_eq!(world.unowned_shares(), 0, "{seed}: taken over");
 }
 
 /// A share has a new holder that can't reach the machines, and the deposed one, which knows of nothing, goes on renewing
@@ -225,7 +213,7 @@
         let ids = long_jobs(&mut world, 6, 3);
         world.run_for(25 * S);
         let owner = world.holder(&format!("share/{}", seed % 3)).expect("owned");
-        leave_workers_with(&mut world, owner, times.cancel + 40 * S);
+        leave_workers_with(&mut world, owner, times.cancel + 40 * S, seed);
         cancel_at(&mut world, &ids, 0);
         world.run_for(4 * S);
         if seed / 3 % 2 == 0 {
