Links on loopback listen at ports that they take at once

As read, a link's port was looked for and then taken, and another process of the testbed took it in between; not reproduced. Assertions unchanged.

--- a/crates/testbed/src/link.rs
+++ b/crates/testbed/src/link.rs
@@ -1,6 +1,5 @@
 //! A link between two parties that can be cut: a proxy on loopback that passes bytes on, holds them back, or resets.
 
-use crate::http::free_address;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,8 +43,9 @@
 
 /// Begins to pass connections on to an address; says where. It ends when the returned set is dropped.
 pub async fn proxy(to: SocketAddr, gate: Gate) -> io::Result<(SocketAddr, JoinSet<()>)> {
-    let address = free_address()?;
-    let listener = TcpListener::bind(address).await?;
+    // Taken at once, so any free port will do: one that is looked for first may be another process's by then.
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
     let mut tasks = JoinSet::new();
     tasks.spawn(async move {
         let mut connections = JoinSet::new();
