Testbed: one upload of a job, one walk over the machines that a trouble meets

Submitting with and without waiting held the same four lines, and each troubled machine was looked for by a walk over all. No behaviour changes.

--- a/crates/testbed/src/cloud.rs
+++ b/crates/testbed/src/cloud.rs
@@ -63,13 +63,11 @@
         self.locked().is_down = is_down;
     }
 
-    /// Something happens to the worker of the nth machine that is up.
-    pub fn trouble(&self, nth: usize, trouble: WorkerTrouble, duration: Duration) {
+    /// Something happens to the workers of one in so many machines that are up, beginning with the first.
+    pub fn trouble_one_in(&self, one_in: usize, trouble: WorkerTrouble, duration: Duration) {
         let state = self.locked();
-        let running: Vec<&RunningMachine> = state.rented.values().filter_map(|r| r.running.as_ref()).collect();
-        if let Some(machine) = (!running.is_empty()).then(|| running[nth % running.len()]) {
-            machine.trouble(trouble, duration);
-        }
+        let running = state.rented.values().filter_map(|rented| rented.running.as_ref());
+        running.step_by(one_in.max(1)).for_each(|machine| machine.trouble(trouble, duration));
     }
 
     /// Begins to serve; says where.
@@ -118,11 +116,6 @@
         self.locked().rented.values().filter(|rented| rented.machine.zone == zone && rented.running.is_some()).count()
     }
 
-    /// Machines that are up.
-    pub fn machines_up(&self) -> usize {
-        self.locked().rented.values().filter(|rented| rented.running.is_some()).count()
-    }
-
     /// Rents machines, which come up a while later.
     pub fn rent(&self, zone: &str, spot: bool, count: u32) -> Vec<MachineId> {
         let mut state = self.locked();
--- a/crates/testbed/src/troubles.rs
+++ b/crates/testbed/src/troubles.rs
@@ -112,6 +112,7 @@
 
 /// Begins a trouble, or ends it.
 pub fn bring_about(cluster: &mut Cluster, planned: &Planned, begins: bool) -> io::Result<()> {
+    let duration = Duration::from_millis(planned.for_ms);
     let labels = cluster.labels();
     let label = |n: usize| labels[n % labels.len()].clone();
     let set = |gate: &Gate, passage| gate.set(if begins { passage } else { Passage::Open });
@@ -137,7 +138,7 @@
                 }
             }
             if begins {
-                trouble_workers(cluster, 1, WorkerTrouble::Unreachable, planned);
+                cluster.cloud.trouble_one_in(1, WorkerTrouble::Unreachable, duration);
             }
         }
         Trouble::SiblingsReset(n) => set(&cluster.links(&label(n)).siblings, Passage::Reset),
@@ -145,15 +146,8 @@
         Trouble::StateDown => cluster.state.set_down(begins),
         Trouble::LateWrites => cluster.state.set_late(if begins { LATE_ONE_IN } else { 0 }, Duration::from_secs(3)),
         Trouble::CloudDown => cluster.cloud.set_down(begins),
-        Trouble::Workers(one_in, trouble) if begins => trouble_workers(cluster, one_in, trouble, planned),
+        Trouble::Workers(one_in, trouble) if begins => cluster.cloud.trouble_one_in(one_in, trouble, duration),
         Trouble::Workers(..) => {}
     }
     Ok(())
 }
-
-/// Something happens to one in so many machines, beginning with the first.
-fn trouble_workers(cluster: &Cluster, one_in: usize, trouble: WorkerTrouble, planned: &Planned) {
-    let duration = Duration::from_millis(planned.for_ms);
-    let machines = cluster.cloud.machines_up();
-    (0..machines).step_by(one_in.max(1)).for_each(|nth| cluster.cloud.trouble(nth, trouble, duration));
-}
--- a/crates/testbed/src/users.rs
+++ b/crates/testbed/src/users.rs
@@ -49,11 +49,17 @@
 
     /// Submits a job and repeats that until it is accepted; says whether it was in time.
     pub async fn submit(&mut self, cluster: &Cluster, id: &str, spec: JobSpec) -> bool {
+        let body = self.upload(cluster, id, spec);
+        self.repeat("/api/jobs", &body, id).await
+    }
+
+    /// Uploads a job's description to where workers find it; returns the body of its submission.
+    fn upload(&mut self, cluster: &Cluster, id: &str, spec: JobSpec) -> Vec<u8> {
         let mut body = serde_json::to_value(&spec).unwrap_or(Value::Null);
         body["id"] = json!(id);
         self.jobs.insert(id.to_string(), spec.tasks);
         cluster.around.jobs.lock().unwrap_or_else(PoisonError::into_inner).insert(JobId::new(id), spec);
-        self.repeat("/api/jobs", &encode(&body), id).await
+        encode(&body)
     }
 
     /// Calls a job off and repeats that until it is confirmed.
@@ -63,11 +69,8 @@
 
     /// Submits a job without waiting for the answer.
     pub fn ask_to_take(&mut self, cluster: &Cluster, id: &str, spec: JobSpec) {
-        let mut body = serde_json::to_value(&spec).unwrap_or(Value::Null);
-        body["id"] = json!(id);
-        self.jobs.insert(id.to_string(), spec.tasks);
-        cluster.around.jobs.lock().unwrap_or_else(PoisonError::into_inner).insert(JobId::new(id), spec);
-        self.repeat_aside("/api/jobs".into(), encode(&body), id, Duration::from_secs(60));
+        let body = self.upload(cluster, id, spec);
+        self.repeat_aside("/api/jobs".into(), body, id, Duration::from_secs(60));
     }
 
     /// Calls a job off without waiting for the answer, and repeats that for so long.
