Log why a machine is cordoned, why an evacuation is held back, and that probes find no socket

The machines left behind in a lost zone could not be told apart in the log: a cordon named no cause, a machine passed over left no line. Now a cordon names its cause, a change of what holds an evacuation back is one line (10 a second at most, a summary by reason every ten seconds), and probes that find no socket are counted. The limit on log lines of cancellations serves both. In the simulated worlds every line carries the time and the controller.

--- a/crates/zones/src/tracker.rs
+++ b/crates/zones/src/tracker.rs
@@ -79,9 +79,9 @@
         }
     }
 
-    /// Whether a machine is known to be unresponsive.
-    pub fn is_unresponsive(&self, id: &MachineId) -> bool {
-        self.machine_counts.liveness(id) == Liveness::Unresponsive
+    /// The liveness of a machine.
+    pub fn liveness(&self, id: &MachineId) -> Liveness {
+        self.machine_counts.liveness(id)
     }
 
     /// The machines of a zone, of all shards.
--- a/src/coordination/autoscaling/capacity_plan.rs
+++ b/src/coordination/autoscaling/capacity_plan.rs
@@ -4,6 +4,7 @@
 use crate::coordination::Controller;
 use crate::coordination::autoscaling::bin_packing::{MachineCapacity, UnschedulableTasks};
 use crate::coordination::autoscaling::machine_types::InstanceOffer;
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::protocol::user::Priority;
 use crate::storage::schema::{CordonReason, MachineRecord};
 use crate::types::{MachineId, Micros};
@@ -126,7 +127,7 @@
     fn reassign_idle_machines(&mut self, capacity: &mut CapacityByShard, unschedulable: &mut [UnschedulableTasks]) {
         for MachineMove { machine, from_shard, to_shard } in self.idle_machine_moves(capacity, unschedulable) {
             tracing::debug!(%machine, from_shard, to_shard, "idle machine reassigned to another shard");
-            self.cordon_as_leader(&machine, CordonReason::MoveToShard(to_shard));
+            self.cordon_as_leader(&machine, CordonReason::MoveToShard(to_shard), CordonCause::NeededElsewhere);
         }
     }
 
--- a/src/coordination/autoscaling/leader.rs
+++ b/src/coordination/autoscaling/leader.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::Controller;
 use crate::coordination::autoscaling::cloud_client::CloudRequest;
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::storage::schema::CordonReason;
 use crate::types::MachineId;
 
@@ -45,8 +46,8 @@
     }
 
     /// Cordons a machine of any shard for the leader's plan.
-    pub(crate) fn cordon_as_leader(&mut self, id: &MachineId, reason: CordonReason) {
+    pub(crate) fn cordon_as_leader(&mut self, id: &MachineId, reason: CordonReason, cause: CordonCause) {
         self.fleet.machine_or_insert(id);
-        self.cordon(id, reason);
+        self.cordon(id, reason, cause);
     }
 }
--- a/src/coordination/autoscaling/provisioning.rs
+++ b/src/coordination/autoscaling/provisioning.rs
@@ -4,6 +4,7 @@
 use crate::coordination::autoscaling::bin_packing::MachineCapacity;
 use crate::coordination::autoscaling::machine_types::{InstanceOffer, MachineTypeCatalog};
 use crate::coordination::autoscaling::provisioning_history::{ProvisioningHistory, Reliability};
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::protocol::cloud::{InstanceRequest, ListedMachine, ListedState};
 use crate::storage::schema::CordonReason;
 use crate::types::{MachineId, Micros};
@@ -214,7 +215,7 @@
             let is_recorded = self.store.replica.machines.contains_key(id);
             if machine.state == ListedState::Failed {
                 if is_recorded {
-                    self.cordon_as_leader(id, CordonReason::ForceDelete);
+                    self.cordon_as_leader(id, CordonReason::ForceDelete, CordonCause::ListedAsFailed);
                 } else if !self.autoscaling.was_deleted(id) {
                     // The listing lags: one that was deleted stays on it as failed for a while.
                     failed.push(id.clone());
--- a/src/coordination/autoscaling/scale_in.rs
+++ b/src/coordination/autoscaling/scale_in.rs
@@ -3,6 +3,7 @@
 use crate::coordination::Controller;
 use crate::coordination::autoscaling::bin_packing::UnschedulableTasks;
 use crate::coordination::autoscaling::capacity_plan::CapacityByShard;
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::storage::schema::CordonReason;
 use crate::types::{MachineId, Micros};
 
@@ -26,7 +27,7 @@
             .take(max_count)
             .collect();
         for id in retired {
-            self.cordon_as_leader(&id, CordonReason::Retire);
+            self.cordon_as_leader(&id, CordonReason::Retire, CordonCause::Idle);
         }
     }
 
--- /dev/null
+++ b/src/coordination/fleet/cordon.rs
@@ -0,0 +1,56 @@
+//! Cordons: nothing more starts on a cordoned machine, and what becomes of it follows from the stored reason.
+
+use crate::coordination::Controller;
+use crate::coordination::fleet::machine::Machine;
+use crate::coordination::store_sync::MachineChange;
+use crate::storage::schema::CordonReason;
+use crate::types::MachineId;
+
+/// What led to a cordon, for the log: the stored reason says only what becomes of the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CordonCause {
+    /// It alone gives no sign of life.
+    Silent,
+    /// It was not seen since this controller took its shard, for longer than a lease.
+    NeverSeen,
+    /// Its heartbeats arrive, and nothing that is sent to it.
+    Unreachable,
+    /// It answers, and its heartbeats don't arrive.
+    MissingHeartbeats,
+    /// Its agent lost its state.
+    IncarnationLost,
+    /// It runs services in a lost zone.
+    ZoneLost,
+    /// The cloud lists it as failed.
+    ListedAsFailed,
+    /// Tasks fail there that succeed elsewhere.
+    FaultyTasks,
+    /// The capacity plan does without it.
+    Idle,
+    /// Another shard needs it.
+    NeededElsewhere,
+}
+
+impl Controller {
+    /// Why a machine is cordoned, if it is.
+    pub(super) fn cordon_reason(&self, id: &MachineId) -> Option<CordonReason> {
+        self.store.replica.machines.get(id).and_then(|stored| stored.value.cordon)
+    }
+
+    /// Cordons a machine, so that nothing more starts there, unless its record is just being changed or it is already to
+    /// be deleted.
+    pub(crate) fn cordon(&mut self, id: &MachineId, reason: CordonReason, cause: CordonCause) {
+        let before = self.cordon_reason(id);
+        let is_changing = self.fleet.machine(id).is_none_or(Machine::is_record_changing);
+        if before == Some(CordonReason::ForceDelete) || before == Some(reason) || is_changing {
+            return;
+        }
+        tracing::info!(machine = %id, ?reason, ?cause, "machine cordoned");
+        let what = match reason {
+            CordonReason::MoveToShard(_) => MachineChange::Move,
+            CordonReason::Retire => MachineChange::Retire,
+            CordonReason::ForceDelete | CordonReason::Deleted => MachineChange::Replace,
+        };
+        self.write_machine(id, what, |record| record.cordon = Some(reason));
+    }
+}
--- a/src/coordination/fleet/direct_commands.rs
+++ b/src/coordination/fleet/direct_commands.rs
@@ -1,5 +1,6 @@
 //! Direct messages to agents: when one is sent, and what its outcome proves.
 
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::coordination::fleet::heartbeats::HeartbeatSource;
 use crate::coordination::fleet::machine::{Machine, MessagePosition};
 use crate::coordination::{CallFailure, Controller, DirectCommandsOutcome, Effect};
@@ -127,7 +128,7 @@
         // what was on it is gone. Incarnations can't tell, a deletion can.
         if machine.commands.precedes_last_message(MessagePosition::from(heartbeat)) {
             tracing::warn!(machine = %id, "agent lost its incarnation");
-            self.cordon(id, CordonReason::ForceDelete);
+            self.cordon(id, CordonReason::ForceDelete, CordonCause::IncarnationLost);
             return;
         }
         let has_other_incarnation = heartbeat.incarnation != machine.incarnation();
--- a/src/coordination/fleet/failure_detection/missing_heartbeats.rs
+++ b/src/coordination/fleet/failure_detection/missing_heartbeats.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::Controller;
 use crate::coordination::fleet::Fleet;
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::coordination::fleet::machine::Machine;
 use crate::storage::schema::CordonReason;
 use crate::types::{MachineId, Micros};
@@ -41,7 +42,7 @@
             return;
         }
         for id in &missing {
-            self.cordon(id, CordonReason::ForceDelete);
+            self.cordon(id, CordonReason::ForceDelete, CordonCause::MissingHeartbeats);
         }
     }
 }
--- a/src/coordination/fleet/failure_detection/probes.rs
+++ b/src/coordination/fleet/failure_detection/probes.rs
@@ -9,6 +9,9 @@
 /// Machines that are probed at a time to learn whether it is this controller that has lost contact.
 const CONTACT_SAMPLE: usize = 6;
 
+/// How often it is logged that probes are held back.
+const PROBE_LOG_INTERVAL: Micros = Micros::from_millis(10_000);
+
 /// Machines of a zone that are probed in each check while one of the zone fails to answer.
 const WIDENED_PROBES: usize = 3;
 
@@ -60,8 +63,13 @@
         let due = self.due_probes(own_machines);
         let now = self.now();
         self.fleet.probe_budget.refill(now, self.policy.probes_per_s);
-        for DueProbe { is_routine, machine: id, .. } in due {
-            if self.fleet.direct_queue.is_full() || (is_routine && self.fleet.probe_budget.is_exhausted()) {
+        for (sent_count, DueProbe { is_routine, machine: id, .. }) in due.iter().enumerate() {
+            if self.fleet.direct_queue.is_full() {
+                self.log_probes_held_back(&due[sent_count..]);
+                break;
+            }
+            let (is_routine, id) = (*is_routine, *id);
+            if is_routine && self.fleet.probe_budget.is_exhausted() {
                 break;
             }
             if is_routine {
@@ -75,6 +83,25 @@
         }
     }
 
+    /// Probes are due for which no socket is left.
+    fn log_probes_held_back(&mut self, held_back: &[DueProbe]) {
+        let now = self.now();
+        if now < self.fleet.next_probe_log_at {
+            return;
+        }
+        self.fleet.next_probe_log_at = now + PROBE_LOG_INTERVAL;
+        let is_unprobed =
+            |id: &MachineId| self.fleet.machine(id).is_some_and(|machine| machine.contact.failed_probe_count() == 0);
+        let unprobed = || held_back.iter().filter(|probe| is_unprobed(probe.machine));
+        let unprobed_silence = unprobed().map(|probe| now.since(probe.last_seen_at)).max().unwrap_or_default();
+        tracing::info!(
+            due_count = held_back.len(),
+            unprobed_count = unprobed().count(),
+            unprobed_silence_ms = unprobed_silence.millis(),
+            "probes held back: no socket left for direct messages"
+        );
+    }
+
     fn probe_thresholds(&self) -> ProbeThresholds {
         let routine = Micros::from_millis(self.policy.probe_after_ms);
         let late = Micros::from_secs_f64(self.platform.deployment.agents.heartbeat_s * self.policy.report_late_part);
--- a/src/coordination/fleet/failure_detection/silent_machines.rs
+++ b/src/coordination/fleet/failure_detection/silent_machines.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::Controller;
 use crate::coordination::fleet::Fleet;
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::coordination::fleet::failure_detection::ExpiryMargin;
 use crate::coordination::fleet::machine::Machine;
 use crate::storage::schema::CordonReason;
@@ -134,7 +135,7 @@
         }
         for verdict in verdicts {
             if let Verdict::Failed(id) = verdict {
-                self.cordon(&id, CordonReason::ForceDelete);
+                self.cordon(&id, CordonReason::ForceDelete, CordonCause::Silent);
             }
         }
     }
@@ -149,7 +150,7 @@
                 !machine.ownership.is_token_confirmed() && machine.contact.silence(now) >= bound
             });
             if is_never_seen {
-                self.cordon(id, CordonReason::ForceDelete);
+                self.cordon(id, CordonReason::ForceDelete, CordonCause::NeverSeen);
             }
         }
     }
--- a/src/coordination/fleet/faulty_machines.rs
+++ b/src/coordination/fleet/faulty_machines.rs
@@ -1,6 +1,7 @@
 //! Machines on which tasks fail that succeed elsewhere: they are cordoned, drained and returned.
 
 use crate::coordination::Controller;
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::coordination::fleet::machine::{JobFailures, TaskFailures};
 use crate::coordination::jobs::attempt::TaskAttempt;
 use crate::storage::schema::{CordonReason, Outcome};
@@ -23,7 +24,7 @@
             }
             if self.cordon_reason(id).is_none() {
                 tracing::warn!(machine = %id, "machine faulty: tasks of several jobs fail there");
-                self.cordon(id, CordonReason::Retire);
+                self.cordon(id, CordonReason::Retire, CordonCause::FaultyTasks);
             }
         }
     }
--- a/src/coordination/fleet/machine_records.rs
+++ b/src/coordination/fleet/machine_records.rs
@@ -1,10 +1,9 @@
 //! Stored records of machines: what follows from their changes, and how this controller changes them.
 
 use crate::coordination::Controller;
-use crate::coordination::fleet::machine::Machine;
 use crate::coordination::jobs::cancellation_log::AbsenceProof;
 use crate::coordination::store_sync::{MachineChange, ProposedTxn, TxnPurpose};
-use crate::storage::schema::{CordonReason, Key, MachineRecord, Role, to_value};
+use crate::storage::schema::{Key, MachineRecord, Role, to_value};
 use crate::types::{FencingToken, MachineId, Resources};
 
 impl Controller {
@@ -31,11 +30,6 @@
         self.machine_resources(id).minus(&self.jobs.usage().used_on(id))
     }
 
-    /// Why a machine is cordoned, if it is.
-    pub(super) fn cordon_reason(&self, id: &MachineId) -> Option<CordonReason> {
-        self.store.replica.machines.get(id).and_then(|stored| stored.value.cordon)
-    }
-
     /// Machines of a shard, by the stored records.
     fn machines_of_shard(&self, shard: u32) -> Vec<MachineId> {
         let machines = self.store.replica.machines.iter();
@@ -162,21 +156,4 @@
         proposal.put(Key::Machine(id.clone()), to_value(&record));
         self.submit_txn(proposal, TxnPurpose::Machines(what, vec![id.clone()]));
     }
-
-    /// Cordons a machine, so that nothing more starts there, unless its record is just being changed or it is already to
-    /// be deleted.
-    pub(crate) fn cordon(&mut self, id: &MachineId, reason: CordonReason) {
-        let before = self.cordon_reason(id);
-        let is_changing = self.fleet.machine(id).is_none_or(Machine::is_record_changing);
-        if before == Some(CordonReason::ForceDelete) || before == Some(reason) || is_changing {
-            return;
-        }
-        tracing::info!(machine = %id, ?reason, "machine cordoned");
-        let what = match reason {
-            CordonReason::MoveToShard(_) => MachineChange::Move,
-            CordonReason::Retire => MachineChange::Retire,
-            CordonReason::ForceDelete | CordonReason::Deleted => MachineChange::Replace,
-        };
-        self.write_machine(id, what, |record| record.cordon = Some(reason));
-    }
 }
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -9,6 +9,7 @@
 
 pub(crate) mod agent_commands;
 pub(crate) mod cancellation_enforcement;
+pub(crate) mod cordon;
 pub(crate) mod direct_commands;
 mod direct_queue;
 pub(crate) mod draining;
@@ -51,6 +52,7 @@
     machines: BTreeMap<MachineId, Machine>,
     direct_queue: DirectQueue,
     probe_budget: ProbeBudget,
+    next_probe_log_at: Micros,
     next_check_at: Micros,
     correlated_failures: CorrelatedFailures,
     /// Heartbeats whose machines are just being registered.
@@ -68,6 +70,7 @@
             unregistered_alive_at: BTreeMap::new(),
             direct_queue: DirectQueue::new(platform.deployment.quota.part_of_sockets(policy.direct_part)),
             probe_budget: ProbeBudget::default(),
+            next_probe_log_at: Micros::ZERO,
             next_check_at: Micros::ZERO,
             correlated_failures: CorrelatedFailures::default(),
             unregistered: Vec::new(),
--- a/src/coordination/jobs/cancellation_log.rs
+++ b/src/coordination/jobs/cancellation_log.rs
@@ -6,40 +6,22 @@
 
 use crate::coordination::Controller;
 use crate::coordination::jobs::attempt::{AttemptState, TaskAttempt};
+use crate::coordination::log_limit::LogLimit;
 use crate::storage::schema::Outcome;
 use crate::types::{JobId, MachineId, Micros, TaskId};
 
-/// Lines in a second, in the long run.
-const LINES_PER_S: f64 = 10.0;
-/// Lines at once after a quiet time.
-const MAX_BURST_LINES: f64 = 100.0;
 /// How often open cancellations are summed up, while there are any.
 const SUMMARY_INTERVAL: Micros = Micros::from_millis(10_000);
 
-/// A token bucket for log lines about cancellations, and counts for their summary.
-#[derive(Debug)]
+/// A limit on log lines about cancellations, and counts for their summary.
+#[derive(Debug, Default)]
 pub(crate) struct CancellationLog {
-    lines_left: f64,
-    refilled_at: Micros,
-    left_out_count: u64,
+    limit: LogLimit,
     summarized_at: Micros,
     late_deletion_count: u64,
     added_stop_count: u64,
 }
 
-impl Default for CancellationLog {
-    fn default() -> CancellationLog {
-        CancellationLog {
-            lines_left: MAX_BURST_LINES,
-            refilled_at: Micros::ZERO,
-            left_out_count: 0,
-            summarized_at: Micros::ZERO,
-            late_deletion_count: 0,
-            added_stop_count: 0,
-        }
-    }
-}
-
 impl CancellationLog {
     /// Counts deletions of machines that were asked for so late that not even a confirmation within one retry comes in
     /// time.
@@ -52,20 +34,6 @@
         self.added_stop_count += 1;
     }
 
-    /// Whether one more line may be written now.
-    fn admits_line(&mut self, now: Micros) -> bool {
-        let refill = now.since(self.refilled_at).secs() * LINES_PER_S;
-        self.lines_left = (self.lines_left + refill).min(MAX_BURST_LINES);
-        self.refilled_at = now;
-        let is_admitted = self.lines_left >= 1.0;
-        if is_admitted {
-            self.lines_left -= 1.0;
-        } else {
-            self.left_out_count += 1;
-        }
-        is_admitted
-    }
-
     /// Whether the next summary is due; if so, it counts as written.
     fn takes_summary(&mut self, now: Micros) -> bool {
         let is_due = now.since(self.summarized_at) >= SUMMARY_INTERVAL;
@@ -121,7 +89,7 @@
         let now = self.now();
         // Clients ask about old jobs again and again.
         let Some(remaining_tasks) = self.jobs.get(job).map(|job| job.attempts.occupying_count()) else { return };
-        if !self.jobs.cancellation_log.admits_line(now) {
+        if !self.jobs.cancellation_log.limit.admits_line(now) {
             return;
         }
         let revision = self.store.replica.applied_revision.0;
@@ -140,7 +108,7 @@
     /// An attempt was proven absent; logged if its job was cancelled.
     pub(crate) fn log_cancelled_attempt_absent(&mut self, task: &TaskId, machine: &MachineId, proof: AbsenceProof) {
         let now = self.now();
-        if self.outcome(&task.job) != Some(Outcome::Cancelled) || !self.jobs.cancellation_log.admits_line(now) {
+        if self.outcome(&task.job) != Some(Outcome::Cancelled) || !self.jobs.cancellation_log.limit.admits_line(now) {
             return;
         }
         let revision = self.store.replica.applied_revision.0;
@@ -155,7 +123,7 @@
             return;
         }
         let open = self.open_cancellations();
-        let left_out_count = std::mem::take(&mut self.jobs.cancellation_log.left_out_count);
+        let left_out_count = self.jobs.cancellation_log.limit.take_left_out_count();
         if open.task_count == 0 && left_out_count == 0 {
             return;
         }
--- /dev/null
+++ b/src/coordination/log_limit.rs
@@ -0,0 +1,43 @@
+//! A bound on the rate of log lines about one subject, so that a wave of events does not cost more than the work itself.
+
+use crate::types::Micros;
+
+/// Lines in a second, in the long run.
+const LINES_PER_S: f64 = 10.0;
+/// Lines at once after a quiet time.
+const MAX_BURST_LINES: f64 = 100.0;
+
+/// A token bucket for log lines, which counts those that it left out.
+#[derive(Debug)]
+pub(crate) struct LogLimit {
+    lines_left: f64,
+    refilled_at: Micros,
+    left_out_count: u64,
+}
+
+impl Default for LogLimit {
+    fn default() -> LogLimit {
+        LogLimit { lines_left: MAX_BURST_LINES, refilled_at: Micros::ZERO, left_out_count: 0 }
+    }
+}
+
+impl LogLimit {
+    /// Whether one more line may be written now.
+    pub(crate) fn admits_line(&mut self, now: Micros) -> bool {
+        let refill = now.since(self.refilled_at).secs() * LINES_PER_S;
+        self.lines_left = (self.lines_left + refill).min(MAX_BURST_LINES);
+        self.refilled_at = now;
+        let is_admitted = self.lines_left >= 1.0;
+        if is_admitted {
+            self.lines_left -= 1.0;
+        } else {
+            self.left_out_count += 1;
+        }
+        is_admitted
+    }
+
+    /// Lines left out since this was last asked.
+    pub(crate) fn take_left_out_count(&mut self) -> u64 {
+        std::mem::take(&mut self.left_out_count)
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod control;
 mod fleet;
 pub mod jobs;
+mod log_limit;
 mod messages;
 pub mod scheduling;
 pub mod store_sync;
--- a/src/coordination/scheduling/cross_shard_preemption.rs
+++ b/src/coordination/scheduling/cross_shard_preemption.rs
@@ -8,6 +8,7 @@
 use crate::coordination::Controller;
 use crate::coordination::autoscaling::bin_packing::{MachineCapacity, UnschedulableTasks};
 use crate::coordination::autoscaling::capacity_plan::{CapacityByShard, MachineMove};
+use crate::coordination::fleet::cordon::CordonCause;
 use crate::protocol::user::Priority;
 use crate::storage::schema::CordonReason;
 use crate::types::{MachineId, Micros};
@@ -27,7 +28,7 @@
         for MachineMove { machine, to_shard, .. } in self.machines_to_preempt(capacity, unschedulable) {
             tracing::debug!(%machine, to_shard, "machine preempted for another shard");
             self.autoscaling.note_preemption(machine.clone(), now);
-            self.cordon_as_leader(&machine, CordonReason::MoveToShard(to_shard));
+            self.cordon_as_leader(&machine, CordonReason::MoveToShard(to_shard), CordonCause::NeededElsewhere);
         }
     }
 
--- a/src/coordination/zones/evacuation.rs
+++ b/src/coordination/zones/evacuation.rs
@@ -6,12 +6,15 @@
 
 use crate::coordination::Controller;
 use crate::coordination::autoscaling::bin_packing::tasks_that_fit;
+use crate::coordination::fleet::cordon::CordonCause;
+use crate::coordination::fleet::machine::Machine;
 use crate::coordination::jobs::job::Job;
 use crate::coordination::scheduling::shard_view::CandidateMachine;
+use crate::coordination::zones::evacuation_log::{BlockedMachines, EvacuationBlock};
 use crate::protocol::user::JobKind;
 use crate::storage::schema::{CordonReason, Role};
 use crate::types::{JobId, MachineId, Micros, Resources, TaskId};
-use burlhatch_zones::Condition;
+use burlhatch_zones::{Condition, Liveness};
 use std::collections::BTreeMap;
 
 /// Machines of one shard that are on their way to deletion at a time, at least. More follow from the rate of writes: the
@@ -103,18 +106,28 @@
 
     /// Has machines of lost zones deleted that run services, as far as there is capacity for these elsewhere.
     pub(super) fn evacuate_lost_zones(&mut self) {
-        if !self.policy.zones.evacuate || self.zones.displaced_counts.is_empty() {
-            return;
-        }
-        let shards: Vec<u32> = self.control.held_shards().collect();
-        for shard in shards {
-            self.evacuate_shard(shard);
+        let mut blocked = BlockedMachines::new();
+        if self.policy.zones.evacuate && !self.zones.displaced_counts.is_empty() {
+            let shards: Vec<u32> = self.control.held_shards().collect();
+            for shard in shards {
+                self.evacuate_shard(shard, &mut blocked);
+            }
         }
+        let now = self.now();
+        self.zones.evacuation_log.update(blocked, now);
     }
 
-    fn evacuate_shard(&mut self, shard: u32) {
-        let candidates = self.machines_to_evacuate(shard);
-        if candidates.is_empty() {
+    fn evacuate_shard(&mut self, shard: u32, blocked: &mut BlockedMachines) {
+        let mut due = Vec::new();
+        for id in self.machines_to_evacuate(shard) {
+            match self.evacuation_block(&id) {
+                Some(block) => {
+                    blocked.insert(id, block);
+                }
+                None => due.push(id),
+            }
+        }
+        if due.is_empty() {
             return;
         }
         let mut in_flight = self.evacuations_in_flight(shard);
@@ -122,15 +135,18 @@
         let limits = &self.platform.deployment;
         let by_write_rate = (limits.store.write_rps / f64::from(limits.controller_count)) as usize;
         let max_in_flight = MIN_EVACUATIONS_IN_FLIGHT.max(by_write_rate);
-        for id in candidates {
+        for id in due {
             if in_flight.len() >= max_in_flight {
-                break;
+                blocked.insert(id, EvacuationBlock::TooManyInFlight);
+                continue;
             }
             let services = self.services_on(&id);
             if take_capacity(&mut available, &services) {
                 tracing::info!(machine = %id, replica_count = services.len(), "machine evacuated from lost zone");
-                self.cordon(&id, CordonReason::ForceDelete);
+                self.cordon(&id, CordonReason::ForceDelete, CordonCause::ZoneLost);
                 in_flight.push(id);
+            } else {
+                blocked.insert(id, EvacuationBlock::NoCapacity);
             }
         }
     }
@@ -153,26 +169,40 @@
         self.jobs.values().filter(waits).map(|job| (job.attempts.job().clone(), job.waiting_count())).collect()
     }
 
-    /// Unresponsive machines of a shard in zones that have been lost for long enough, with services, not yet to be deleted.
+    /// Machines of a shard in lost zones with services, not yet to be deleted.
     fn machines_to_evacuate(&self, shard: u32) -> Vec<MachineId> {
         if !self.holds(Role::Shard(shard)) {
             return Vec::new();
         }
-        let now = self.now();
-        let min_span = Micros::from_millis(self.policy.zones.evacuate_after_ms);
         let tracker = &self.zones.tracker;
-        let is_lost_for_long =
-            |zone: &&str| tracker.state(zone).is_some_and(|state| now.since(state.entered_at()) >= min_span);
-        let zones = tracker.in_condition(Condition::Lost).filter(is_lost_for_long);
-        let is_due = |id: &&MachineId| {
+        let is_left = |id: &&MachineId| {
             let is_in_shard = self.store.replica.machines.get(*id).is_some_and(|record| {
                 record.value.shard == shard
                     && !matches!(record.value.cordon, Some(CordonReason::ForceDelete | CordonReason::Deleted))
             });
-            let is_unchanging = self.fleet.machine(id).is_some_and(|machine| !machine.is_record_changing());
-            is_in_shard && is_unchanging && tracker.is_unresponsive(id) && self.jobs.usage().runs_service_on(id)
+            is_in_shard && self.jobs.usage().runs_service_on(id)
         };
-        zones.flat_map(|zone| tracker.machines(zone)).filter(is_due).cloned().collect()
+        let zones = tracker.in_condition(Condition::Lost);
+        zones.flat_map(|zone| tracker.machines(zone)).filter(is_left).cloned().collect()
+    }
+
+    /// What of the machine itself or its zone speaks against deleting it now.
+    fn evacuation_block(&self, id: &MachineId) -> Option<EvacuationBlock> {
+        let min_span = Micros::from_millis(self.policy.zones.evacuate_after_ms);
+        let zone = &self.store.replica.machines.get(id)?.value.zone;
+        let lost_for =
+            self.zones.tracker.state(zone).map_or(Micros::ZERO, |state| self.now().since(state.entered_at()));
+        if lost_for < min_span {
+            return Some(EvacuationBlock::ZoneJustLost);
+        }
+        if self.fleet.machine(id).is_none_or(Machine::is_record_changing) {
+            return Some(EvacuationBlock::RecordChanging);
+        }
+        match self.zones.tracker.liveness(id) {
+            Liveness::Responsive => Some(EvacuationBlock::SeenLately),
+            Liveness::Unknown => Some(EvacuationBlock::NotProbed),
+            Liveness::Unresponsive => None,
+        }
     }
 
     fn evacuations_in_flight(&self, shard: u32) -> Vec<MachineId> {
--- a/src/coordination/zones/mod.rs
+++ b/src/coordination/zones/mod.rs
@@ -12,6 +12,7 @@
 
 pub(crate) mod conditions;
 pub(crate) mod evacuation;
+mod evacuation_log;
 pub(crate) mod gradual_return;
 pub(crate) mod replica_moves;
 pub(crate) mod restoration;
@@ -20,6 +21,7 @@
 use crate::types::{JobId, Micros};
 use burlhatch_zones::disruption::DisruptionBudget;
 use burlhatch_zones::{Condition, ZoneTracker};
+use evacuation_log::EvacuationLog;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A replica that was stopped to move to another zone.
@@ -39,6 +41,7 @@
     views_being_written: BTreeSet<(String, u32)>,
     /// Tasks of services on machines of lost zones, and replicas that move, by job.
     displaced_counts: BTreeMap<JobId, u32>,
+    evacuation_log: EvacuationLog,
     disruption_budget: DisruptionBudget,
     moving_replicas: BTreeMap<JobId, MovingReplica>,
     /// Since when services had capacity only in zones that they had better avoid.
--- a/tests/rules/world/control.rs
+++ b/tests/rules/world/control.rs
@@ -28,7 +28,7 @@
 
     pub(super) fn feed(&mut self, node: usize, input: Input) {
         let clock = self.clock(node);
-        let _at = tracing::debug_span!("at", ms = self.now / MS, node).entered();
+        let _at = tracing::error_span!("at", ms = self.now / MS, node).entered();
         let frozen = self.now < self.nodes[node].frozen_until;
         let Some(controller) = self.nodes[node].controller.as_mut() else { return };
         if frozen {
