--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -84,6 +84,8 @@
     late_replicas: usize,
     /// Machines that had replicas then, and were not even to be deleted.
     left_machines: usize,
+    /// Machines that had replicas, and were deleted or to be by then.
+    evacuated_machines: usize,
     /// Machines without replicas that were deleted by then.
     idle_deleted: usize,
 }
@@ -141,13 +143,14 @@
             let staying = world.machines_to_stay();
             let left = hosts.iter().filter(|id| staying.contains(*id)).count();
             let deleted = idle.iter().filter(|id| !staying.contains(*id)).count();
-            at_first_expiry = Some((missing, left, deleted));
+            at_first_expiry = Some((missing, left, hosts.len() - left, deleted));
         }
         world.run_for(250 * MS);
     }
     assert_clean(&world, &format!("{course:?}"));
-    let (late_replicas, left_machines, idle_deleted) = at_first_expiry.expect("the course was long enough");
-    Outcome { displaced, restored, late_replicas, left_machines, idle_deleted }
+    let (late_replicas, left_machines, evacuated_machines, idle_deleted) =
+        at_first_expiry.expect("the course was long enough");
+    Outcome { displaced, restored, late_replicas, left_machines, evacuated_machines, idle_deleted }
 }
 
 fn variations() -> Vec<(&'static str, fn(&mut Course))> {
@@ -184,6 +187,21 @@
     }
 }
 
+/// Symptom: while a zone is cut off and sockets are few, some of its machines are deleted one by one, though they work on.
+#[test]
+fn machines_of_a_zone_that_is_cut_off_work_on_though_sockets_are_few() {
+    for seed in seeds(122, 3) {
+        for lost_after in [37 * S, 40 * S, 41_700 * MS] {
+            let mut course = Course { lost_after, ..Course::new(seed, 600, 3) };
+            course.policy.direct_part = FEW_SOCKETS;
+            course.policy.zones.enabled = false;
+            let outcome = play(&course);
+            let deleted = outcome.idle_deleted + outcome.evacuated_machines;
+            assert_eq!(deleted, 0, "{seed}, {lost_after}: {outcome:?}");
+        }
+    }
+}
+
 /// The table for the incident page. Long, so not part of the suite:
 /// `BURLHATCH_MACHINES=4000 BURLHATCH_WORLD_SEEDS=20 cargo test --release --test rules measure_zone_cuts -- --ignored --nocapture`
 #[test]
