--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -224,6 +224,18 @@
     }
 }
 
+/// Symptom: late heartbeats of others in the zone make the machine that was seen first before the cut look lost alone.
+#[test]
+fn late_heartbeats_of_others_do_not_make_a_machine_look_lost_alone() {
+    for seed in seeds(124, 3).chain([123_010]) {
+        let mut course = Course { services: 4, replicas: 8, heartbeat_copies: 2, ..Course::new(seed, 150, 3) };
+        course.policy.zones.enabled = false;
+        let outcome = play(&course);
+        let deleted = outcome.idle_deleted + outcome.evacuated_machines;
+        assert_eq!(deleted, 0, "{seed}: {outcome:?}");
+    }
+}
+
 /// The table for the incident page. Long, so not part of the suite:
 /// `BURLHATCH_MACHINES=4000 BURLHATCH_WORLD_SEEDS=20 cargo test --release --test rules measure_zone_cuts -- --ignored --nocapture`
 #[test]
