--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -239,6 +239,34 @@
     }
 }
 
+/// Symptom: there is room elsewhere for some of the replicas, on machines of a lost zone that run two services each, and none
+/// or hardly any of it is used.
+#[test]
+fn room_for_some_replicas_is_used_though_machines_run_several_services() {
+    for seed in seeds(125, 6) {
+        let size = Size { nodes: 3, machines: 24, capacity: 24, write_rps: 50.0, zones: ZONES, times: TIMES };
+        let mut world = World::sized(seed, judging_zones(), size);
+        world.cloud.never_up = 0;
+        // Two fill a machine, and two machines are left.
+        let services: Vec<JobId> =
+            (0..44).map(|n| world.submit(1 + n, World::spec(JobKind::Service, "green", 1, 2.0))).collect();
+        world.run_for(60 * S);
+        assert!(services.iter().all(|id| world.running(id) == 1), "{seed}: services are not at work");
+        let running_in = |world: &World, is_in: bool| {
+            let agents = world.agents.values().filter(|agent| (agent.zone == "a") == is_in);
+            agents.map(|agent| agent.tasks.len()).sum::<usize>()
+        };
+        let (displaced, elsewhere) = (running_in(&world, true), running_in(&world, false));
+        let room = (2 * 16 - elsewhere).min(displaced);
+        world.cut_zone("a", CUT, true);
+        world.run_for(FIRST_EXPIRY);
+        let moved = running_in(&world, false) - elsewhere;
+        assert_eq!(moved, room, "{seed}: {displaced} displaced, room for {room}");
+        super::cancel_services(&mut world);
+        super::finish(&mut world, &format!("room for some {seed}"));
+    }
+}
+
 /// The table for the incident page. Long, so not part of the suite:
 /// `BURLHATCH_MACHINES=4000 BURLHATCH_WORLD_SEEDS=20 cargo test --release --test rules measure_zone_cuts -- --ignored --nocapture`
 #[test]
