--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -272,6 +272,34 @@
     }
 }
 
+/// Symptom: the only service on a machine of a lost zone is cancelled, and the machine is deleted although there is nothing to
+/// be restored, with the batch work that goes on there.
+#[test]
+fn a_machine_whose_services_are_cancelled_is_not_evacuated() {
+    for seed in seeds(126, 3) {
+        let size = Size { nodes: 3, machines: 24, capacity: 30, write_rps: 50.0, zones: ZONES, times: TIMES };
+        let mut world = World::sized(seed, judging_zones(), size);
+        world.cloud.never_up = 0;
+        let services: Vec<JobId> =
+            (0..24).map(|n| world.submit(1 + n, World::spec(JobKind::Service, "green", 1, 2.0))).collect();
+        world.run_for(30 * S);
+        let mut hosts = world.machines_in("a");
+        hosts.retain(|id| !world.agents[id].tasks.is_empty());
+        // The services of one machine go on, so that there is something to restore.
+        let kept = hosts.pop().expect("something runs in the zone");
+        let goes_on: Vec<JobId> = world.agents[&kept].tasks.keys().map(|(job, _)| job.clone()).collect();
+        world.cut_zone("a", CUT, true);
+        for id in services.iter().filter(|id| !goes_on.contains(id)) {
+            world.call_off(id);
+        }
+        world.run_for(FIRST_EXPIRY);
+        let staying = world.machines_to_stay();
+        let deleted = hosts.iter().filter(|id| !staying.contains(*id)).count();
+        assert_eq!(deleted, 0, "{seed}: {deleted} of {} machines", hosts.len());
+        super::finish(&mut world, &format!("cancelled services {seed}"));
+    }
+}
+
 /// The table for the incident page. Long, so not part of the suite:
 /// `BURLHATCH_MACHINES=4000 BURLHATCH_WORLD_SEEDS=20 cargo test --release --test rules measure_zone_cuts -- --ignored --nocapture`
 #[test]
