--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -302,6 +302,30 @@
     }
 }
 
+/// Symptom: while a zone is away, a single machine that hangs in another is not replaced, and its services wait for its lease.
+#[test]
+fn a_machine_that_hangs_elsewhere_while_a_zone_is_away_is_replaced() {
+    for seed in seeds(127, 4) {
+        let size = Size { nodes: 3, machines: 90, capacity: 110, write_rps: 60.0, zones: ZONES, times: TIMES };
+        let mut world = World::sized(seed, judging_zones(), size);
+        world.cloud.never_up = 0;
+        let services: Vec<JobId> =
+            (0..10).map(|n| world.submit(1 + n, World::spec(JobKind::Service, "green", 2, 1.0))).collect();
+        world.run_for(30 * S);
+        world.cut_zone("a", CUT, true);
+        world.run_for(FIRST_EXPIRY);
+        let runs_services = |id: &MachineId| !world.agents[id].tasks.is_empty();
+        let hung = world.machines_in("b").into_iter().find(runs_services).expect("services run in the other zone");
+        world.hang_machine(&hung, CUT);
+        world.run_for(FIRST_EXPIRY);
+        assert!(!world.machines_to_stay().contains(&hung), "{seed}: {hung} is not replaced before its lease ends");
+        let missing = services.iter().filter(|id| world.running(id) < 2).count();
+        assert_eq!(missing, 0, "{seed}: {missing} services are not whole");
+        super::cancel_services(&mut world);
+        super::finish(&mut world, &format!("hung elsewhere {seed}"));
+    }
+}
+
 /// The table for the incident page. Long, so not part of the suite:
 /// `BURLHATCH_MACHINES=4000 BURLHATCH_WORLD_SEEDS=20 cargo test --release --test rules measure_zone_cuts -- --ignored --nocapture`
 #[test]
