--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -11,6 +11,7 @@
 mod on_call;
 mod upgrade;
 mod world;
+mod zone_course;
 mod zone_cuts;
 mod zones;
 mod zones_measured;
--- /dev/null
+++ b/tests/rules/zone_course.rs
@@ -0,0 +1,215 @@
+//! A course with many variations: services run everywhere, one zone is lost, and it is seen when their replicas are at work
+//! elsewhere and which machines of the zone are deleted.
+
+use super::world::{MS, S, Size, TIMES, World};
+use super::{assert_clean, keeping_idle_machines};
+use burlhatch::protocol::user::{JobKind, JobSpec};
+use burlhatch::settings::{Policy, ZoneSettings};
+use burlhatch::types::{JobId, MachineId};
+
+pub const ZONES: &[&str] = &["a", "b", "c"];
+/// A lease counts from the last heartbeat, so the first may expire this much before the others.
+pub const FIRST_EXPIRY: u64 = TIMES.lease - 2 * S;
+/// How long the zone is away.
+pub const CUT: u64 = 60 * S;
+/// How often it is looked whether replicas are at work elsewhere.
+const STEP: u64 = 250 * MS;
+/// What is measured ends here.
+pub const MEASURED: u64 = 40 * S;
+
+/// What happens to the zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Its machines work on and reach nobody.
+    Cut,
+    /// Its machines are gone.
+    Dead,
+}
+
+/// What else happens meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// The leader crashes.
+    Leader,
+    /// The controller crashes that holds the shard with most replicas in the zone.
+    Holder,
+}
+
+pub fn judging_zones() -> Policy {
+    Policy { zones: ZoneSettings { enabled: true, ..ZoneSettings::default() }, ..keeping_idle_machines() }
+}
+
+#[derive(Clone, Debug)]
+pub struct Course {
+    pub seed: u64,
+    pub machines: usize,
+    pub nodes: usize,
+    pub services: u64,
+    pub replicas: u32,
+    pub zone: &'static str,
+    /// How long the services have been submitted when the zone is lost.
+    pub lost_after: u64,
+    pub loss: Loss,
+    pub trouble: Trouble,
+    /// How long after the loss.
+    pub trouble_after: u64,
+    /// Late copies of heartbeats, one in so many.
+    pub heartbeat_copies: u32,
+    pub policy: Policy,
+}
+
+impl Course {
+    pub fn new(seed: u64, machines: usize, nodes: usize) -> Course {
+        Course {
+            seed,
+            machines,
+            nodes,
+            services: 20,
+            replicas: 20,
+            zone: "a",
+            lost_after: 40 * S,
+            loss: Loss::Cut,
+            trouble: Trouble::None,
+            trouble_after: 4 * S,
+            heartbeat_copies: 30,
+            policy: judging_zones(),
+        }
+    }
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// Replicas in the zone when it was lost.
+    pub displaced: usize,
+    /// Until all replicas were at work elsewhere.
+    pub restored: Option<u64>,
+    /// Replicas that were not, when the first leases could expire.
+    pub late_replicas: usize,
+    /// Machines that had replicas then, and were not even to be deleted.
+    pub left_machines: usize,
+    /// Machines that had replicas, and were deleted or to be by then.
+    pub evacuated_machines: usize,
+    /// Machines without replicas that were deleted by then.
+    pub idle_deleted: usize,
+}
+
+fn replicas_elsewhere(world: &World, id: &JobId, zone: &str) -> usize {
+    let agents = world.agents.values().filter(|agent| agent.zone != zone);
+    agents.flat_map(|agent| agent.tasks.keys()).filter(|key| key.0 == *id).count()
+}
+
+fn missing_replicas(world: &World, services: &[JobId], zone: &str) -> usize {
+    let missing = |id: &JobId| (world.jobs[id].spec.tasks as usize).saturating_sub(replicas_elsewhere(world, id, zone));
+    services.iter().map(missing).sum()
+}
+
+fn holder_of_most_replicas(world: &World, hosts: &[MachineId]) -> Option<usize> {
+    let hosts_in = |shard: u32| world.machines_of_shard(shard).iter().filter(|id| hosts.contains(id)).count();
+    let shard = (0..world.size.nodes as u32).max_by_key(|shard| hosts_in(*shard))?;
+    world.holder(&format!("share/{shard}"))
+}
+
+/// A world in which services of so many replicas each are at work.
+pub fn world_with_services(
+    seed: u64,
+    policy: Policy,
+    size: Size,
+    services: u64,
+    spec: &JobSpec,
+) -> (World, Vec<JobId>) {
+    let mut world = World::sized(seed, policy, size);
+    world.cloud.never_up = 0;
+    let services = (0..services).map(|n| world.submit(1 + n, spec.clone())).collect();
+    (world, services)
+}
+
+/// A course at the moment at which the zone is lost.
+struct Run<'a> {
+    course: &'a Course,
+    world: World,
+    services: Vec<JobId>,
+    /// The zone's machines with replicas.
+    hosts: Vec<MachineId>,
+    /// The others.
+    idle: Vec<MachineId>,
+    displaced: usize,
+    lost_at: u64,
+}
+
+impl<'a> Run<'a> {
+    fn start(course: &'a Course) -> Run<'a> {
+        let Course { seed, machines, nodes, zone, .. } = *course;
+        let size =
+            Size { nodes, machines, capacity: machines + machines / 10, write_rps: 50.0, zones: ZONES, times: TIMES };
+        let spec = JobSpec { spread: true, ..World::spec(JobKind::Service, "green", course.replicas, 1.0) };
+        let (mut world, services) = world_with_services(seed, course.policy.clone(), size, course.services, &spec);
+        world.heartbeat_copies = course.heartbeat_copies;
+        world.run_for(course.lost_after);
+        let in_zone = world.machines_in(zone);
+        let (hosts, idle): (Vec<_>, Vec<_>) = in_zone.into_iter().partition(|id| !world.agents[id].tasks.is_empty());
+        let displaced = hosts.iter().map(|id| world.agents[id].tasks.len()).sum();
+        match course.loss {
+            Loss::Cut => world.cut_zone(zone, CUT, true),
+            Loss::Dead => world.kill_zone(zone),
+        }
+        let lost_at = world.now;
+        Run { course, world, services, hosts, idle, displaced, lost_at }
+    }
+
+    fn since_loss(&self) -> u64 {
+        self.world.now - self.lost_at
+    }
+
+    fn missing_replicas(&self) -> usize {
+        missing_replicas(&self.world, &self.services, self.course.zone)
+    }
+
+    fn cause_trouble(&mut self) {
+        let node = match self.course.trouble {
+            Trouble::None => return,
+            Trouble::Leader => self.world.holder("leader"),
+            Trouble::Holder => holder_of_most_replicas(&self.world, &self.hosts),
+        };
+        self.world.crash(node.expect("somebody holds the role"), 30 * S);
+    }
+
+    /// Runs until a moment after the loss; when all replicas were at work elsewhere, if they were.
+    fn run_until(&mut self, end: u64, restored: &mut Option<u64>) {
+        while self.since_loss() < end {
+            if restored.is_none() && self.missing_replicas() == 0 {
+                *restored = Some(self.since_loss());
+            }
+            self.world.run_for(STEP);
+        }
+    }
+
+    /// What there is to say when the first leases could expire.
+    fn outcome(&self, restored: Option<u64>) -> Outcome {
+        let staying = self.world.machines_to_stay();
+        let staying_count = |ids: &[MachineId]| ids.iter().filter(|id| staying.contains(*id)).count();
+        let left_machines = staying_count(&self.hosts);
+        Outcome {
+            displaced: self.displaced,
+            restored,
+            late_replicas: self.missing_replicas(),
+            left_machines,
+            evacuated_machines: self.hosts.len() - left_machines,
+            idle_deleted: self.idle.len() - staying_count(&self.idle),
+        }
+    }
+}
+
+pub fn play(course: &Course) -> Outcome {
+    let mut run = Run::start(course);
+    let mut restored = None;
+    run.run_until(course.trouble_after, &mut restored);
+    run.cause_trouble();
+    run.run_until(FIRST_EXPIRY, &mut restored);
+    let outcome = run.outcome(restored);
+    while restored.is_none() && run.since_loss() < MEASURED {
+        run.run_until(run.since_loss() + STEP, &mut restored);
+    }
+    assert_clean(&run.world, &format!("{course:?}"));
+    Outcome { restored, ..outcome }
+}
--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -1,162 +1,16 @@
-//! One course with many variations: services run everywhere, one zone is cut off, and all of its replicas have to be at work
-//! elsewhere before the agents' leases would prove anything.
+//! A zone is cut off: all of its replicas have to be at work elsewhere before the agents' leases would prove anything, and
+//! what else goes on there is left alone.
 
+use super::seeds;
 use super::world::{MS, S, Size, TIMES, World};
-use super::{assert_clean, keeping_idle_machines, seeds};
+use super::zone_course::{
+    CUT, Course, FIRST_EXPIRY, Loss, MEASURED, Outcome, Trouble, ZONES, judging_zones, play, world_with_services,
+};
 use burlhatch::protocol::user::JobKind;
-use burlhatch::settings::{Policy, ZoneSettings};
 use burlhatch::types::{JobId, MachineId};
 
-const ZONES: &[&str] = &["a", "b", "c"];
-/// A lease counts from the last heartbeat, so the first may expire this much before the others.
-const FIRST_EXPIRY: u64 = TIMES.lease - 2 * S;
 /// Part of the sockets that leaves each controller a few for more than 60 machines in the zone.
 const FEW_SOCKETS: f64 = 0.02;
-/// How long the zone is away.
-const CUT: u64 = 60 * S;
-/// What is measured ends here.
-const MEASURED: u64 = 40 * S;
-
-/// What happens to the zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Loss {
-    /// Its machines work on and reach nobody.
-    Cut,
-    /// Its machines are gone.
-    Dead,
-}
-
-/// What else happens meanwhile.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Trouble {
-    None,
-    /// The leader crashes.
-    Leader,
-    /// The controller crashes that holds the shard with most replicas in the zone.
-    Holder,
-}
-
-fn judging_zones() -> Policy {
-    Policy { zones: ZoneSettings { enabled: true, ..ZoneSettings::default() }, ..keeping_idle_machines() }
-}
-
-#[derive(Clone, Debug)]
-struct Course {
-    seed: u64,
-    machines: usize,
-    nodes: usize,
-    services: u64,
-    replicas: u32,
-    zone: &'static str,
-    /// How long the services have been submitted when the zone is lost.
-    lost_after: u64,
-    loss: Loss,
-    trouble: Trouble,
-    /// How long after the loss.
-    trouble_after: u64,
-    /// Late copies of heartbeats, one in so many.
-    heartbeat_copies: u32,
-    policy: Policy,
-}
-
-impl Course {
-    fn new(seed: u64, machines: usize, nodes: usize) -> Course {
-        Course {
-            seed,
-            machines,
-            nodes,
-            services: 20,
-            replicas: 20,
-            zone: "a",
-            lost_after: 40 * S,
-            loss: Loss::Cut,
-            trouble: Trouble::None,
-            trouble_after: 4 * S,
-            heartbeat_copies: 30,
-            policy: judging_zones(),
-        }
-    }
-}
-
-#[derive(Debug, PartialEq, Eq)]
-struct Outcome {
-    /// Replicas in the zone when it was lost.
-    displaced: usize,
-    /// Until all replicas were at work elsewhere.
-    restored: Option<u64>,
-    /// Replicas that were not, when the first leases could expire.
-    late_replicas: usize,
-    /// Machines that had replicas then, and were not even to be deleted.
-    left_machines: usize,
-    /// Machines that had replicas, and were deleted or to be by then.
-    evacuated_machines: usize,
-    /// Machines without replicas that were deleted by then.
-    idle_deleted: usize,
-}
-
-fn replicas_elsewhere(world: &World, id: &JobId, zone: &str) -> usize {
-    let agents = world.agents.values().filter(|agent| agent.zone != zone);
-    agents.flat_map(|agent| agent.tasks.keys()).filter(|key| key.0 == *id).count()
-}
-
-fn missing_replicas(world: &World, services: &[JobId], zone: &str) -> usize {
-    let missing = |id: &JobId| (world.jobs[id].spec.tasks as usize).saturating_sub(replicas_elsewhere(world, id, zone));
-    services.iter().map(missing).sum()
-}
-
-fn holder_of_most_replicas(world: &World, hosts: &[MachineId]) -> Option<usize> {
-    let hosts_in = |shard: u32| world.machines_of_shard(shard).iter().filter(|id| hosts.contains(id)).count();
-    let shard = (0..world.size.nodes as u32).max_by_key(|shard| hosts_in(*shard))?;
-    world.holder(&format!("share/{shard}"))
-}
-
-fn play(course: &Course) -> Outcome {
-    let Course { seed, machines, nodes, zone, .. } = *course;
-    let size =
-        Size { nodes, machines, capacity: machines + machines / 10, write_rps: 50.0, zones: ZONES, times: TIMES };
-    let mut world = World::sized(seed, course.policy.clone(), size);
-    world.cloud.never_up = 0;
-    world.heartbeat_copies = course.heartbeat_copies;
-    let mut spec = World::spec(JobKind::Service, "green", course.replicas, 1.0);
-    spec.spread = true;
-    let services: Vec<JobId> = (0..course.services).map(|n| world.submit(1 + n, spec.clone())).collect();
-    world.run_for(course.lost_after);
-    let in_zone = world.machines_in(zone);
-    let (hosts, idle): (Vec<_>, Vec<_>) = in_zone.into_iter().partition(|id| !world.agents[id].tasks.is_empty());
-    let displaced = hosts.iter().map(|id| world.agents[id].tasks.len()).sum();
-    let lost_at = world.now;
-    match course.loss {
-        Loss::Cut => world.cut_zone(zone, CUT, true),
-        Loss::Dead => world.kill_zone(zone),
-    }
-    let (mut restored, mut at_first_expiry) = (None, None);
-    let mut trouble = (course.trouble != Trouble::None).then_some(lost_at + course.trouble_after);
-    while world.now - lost_at < MEASURED && (restored.is_none() || at_first_expiry.is_none()) {
-        if trouble.is_some_and(|at| at <= world.now) {
-            trouble = None;
-            let node = match course.trouble {
-                Trouble::Leader => world.holder("leader"),
-                _ => holder_of_most_replicas(&world, &hosts),
-            };
-            world.crash(node.expect("somebody holds the role"), 30 * S);
-        }
-        let missing = missing_replicas(&world, &services, zone);
-        if missing == 0 {
-            restored.get_or_insert(world.now - lost_at);
-        }
-        if world.now - lost_at >= FIRST_EXPIRY && at_first_expiry.is_none() {
-            let staying = world.machines_to_stay();
-            let left = hosts.iter().filter(|id| staying.contains(*id)).count();
-            let deleted = idle.iter().filter(|id| !staying.contains(*id)).count();
-            at_first_expiry = Some((missing, left, hosts.len() - left, deleted));
-        }
-        world.run_for(250 * MS);
-    }
-    assert_clean(&world, &format!("{course:?}"));
-    let (late_replicas, left_machines, evacuated_machines, idle_deleted) =
-        at_first_expiry.expect("the course was long enough");
-    Outcome { displaced, restored, late_replicas, left_machines, evacuated_machines, idle_deleted }
-}
 
 /// How a course differs from the plain one.
 type Change = fn(&mut Course);
@@ -250,11 +104,9 @@
 fn room_for_some_replicas_is_used_though_machines_run_several_services() {
     for seed in seeds(125, 6) {
         let size = Size { nodes: 3, machines: 24, capacity: 24, write_rps: 50.0, zones: ZONES, times: TIMES };
-        let mut world = World::sized(seed, judging_zones(), size);
-        world.cloud.never_up = 0;
         // Two fill a machine, and two machines are left.
-        let services: Vec<JobId> =
-            (0..44).map(|n| world.submit(1 + n, World::spec(JobKind::Service, "green", 1, 2.0))).collect();
+        let spec = World::spec(JobKind::Service, "green", 1, 2.0);
+        let (mut world, services) = world_with_services(seed, judging_zones(), size, 44, &spec);
         world.run_for(60 * S);
         assert!(services.iter().all(|id| world.running(id) == 1), "{seed}: services are not at work");
         let running_in = |world: &World, is_in: bool| {
@@ -279,10 +131,8 @@
 fn a_machine_whose_services_are_cancelled_is_not_evacuated() {
     for seed in seeds(126, 3) {
         let size = Size { nodes: 3, machines: 24, capacity: 30, write_rps: 50.0, zones: ZONES, times: TIMES };
-        let mut world = World::sized(seed, judging_zones(), size);
-        world.cloud.never_up = 0;
-        let services: Vec<JobId> =
-            (0..24).map(|n| world.submit(1 + n, World::spec(JobKind::Service, "green", 1, 2.0))).collect();
+        let spec = World::spec(JobKind::Service, "green", 1, 2.0);
+        let (mut world, services) = world_with_services(seed, judging_zones(), size, 24, &spec);
         world.run_for(30 * S);
         let mut hosts = world.machines_in("a");
         hosts.retain(|id| !world.agents[id].tasks.is_empty());
@@ -310,10 +160,8 @@
 fn a_machine_that_hangs_elsewhere_while_a_zone_is_away_is_replaced() {
     for seed in seeds(127, 4) {
         let size = Size { nodes: 3, machines: 90, capacity: 110, write_rps: 60.0, zones: ZONES, times: TIMES };
-        let mut world = World::sized(seed, judging_zones(), size);
-        world.cloud.never_up = 0;
-        let services: Vec<JobId> =
-            (0..10).map(|n| world.submit(1 + n, World::spec(JobKind::Service, "green", 2, 1.0))).collect();
+        let spec = World::spec(JobKind::Service, "green", 2, 1.0);
+        let (mut world, services) = world_with_services(seed, judging_zones(), size, 10, &spec);
         world.run_for(30 * S);
         world.cut_zone("a", CUT, true);
         world.run_for(FIRST_EXPIRY);
