--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -12,6 +12,27 @@
 /// Part of the sockets that leaves each controller a few for more than 60 machines in the zone.
 const FEW_SOCKETS: f64 = 0.02;
 
+/// Symptom: a machine of a zone that is cut off is deleted as silent alone, in the second before the zone counts as lost.
+#[test]
+fn no_machine_is_judged_alone_while_its_zone_is_being_judged() {
+    for seed in seeds(119, 24) {
+        let mut policy = judging_zones();
+        policy.zones.evacuate = false;
+        let size = Size { nodes: 5, machines: 12, capacity: 12, write_rps: 60.0, zones: ZONES, times: TIMES };
+        let spec = World::spec(JobKind::Service, "green", 1, 1.0);
+        let (mut world, _) = world_with_services(seed, policy, size, 36, &spec);
+        world.run_for(30 * S);
+        let in_zone = world.machines_in("a");
+        world.cut_zone("a", CUT, true);
+        world.run_for(FIRST_EXPIRY);
+        let staying = world.machines_to_stay();
+        let deleted = in_zone.iter().filter(|id| !staying.contains(*id)).count();
+        assert_eq!(deleted, 0, "{seed}: {deleted} of {} machines", in_zone.len());
+        super::cancel_services(&mut world);
+        super::finish(&mut world, &format!("judged alone {seed}"));
+    }
+}
+
 /// How a course differs from the plain one.
 type Change = fn(&mut Course);
 
