No machine is judged alone in a zone that was suspected a moment ago

What users saw: a zone is cut off, and a machine of it is deleted with the work that goes on there, a second before the controllers agree that the zone is lost. Cause: it ran services and was probed at once, its neighbours had none and were not probed yet. Nothing changes where zones are off.

--- a/src/coordination/fleet/failure_detection/silent_machines.rs
+++ b/src/coordination/fleet/failure_detection/silent_machines.rs
@@ -202,7 +202,9 @@
             // (`zone_cuts::late_heartbeats_of_others_do_not_make_a_machine_look_lost_alone`).
             } else if in_zone.at_present(moment).is_zone_cut_off(self.policy.zone_max_part) {
                 Verdict::ZoneCutOff(zone.to_string())
-            } else if self.fleet.may_recover(zone, in_shard, now.since(last_seen_at), now, after) {
+            } else if self.fleet.may_recover(zone, in_shard, now.since(last_seen_at), now, after)
+                || self.is_zone_being_judged(zone)
+            {
                 Verdict::Undecided
             } else {
                 Verdict::Failed(id)
--- a/src/coordination/zones/conditions.rs
+++ b/src/coordination/zones/conditions.rs
@@ -3,6 +3,7 @@
 use crate::coordination::Controller;
 use crate::coordination::scheduling::shard_view::CandidateMachine;
 use crate::types::{MachineId, Micros};
+use burlhatch_zones::condition::ZoneState;
 use burlhatch_zones::{Condition, Liveness, Moment, Transition};
 use std::collections::BTreeSet;
 
@@ -89,6 +90,19 @@
         self.handles_zone_failures() && self.zones.is_lost(zone)
     }
 
+    /// Whether a zone was suspected so lately that it may yet turn out to be lost: none of its machines is judged alone
+    /// meanwhile, as its neighbours may only not have been probed yet
+    /// (`zone_cuts::no_machine_is_judged_alone_while_its_zone_is_being_judged`). Bounded in time, as one blind controller
+    /// can suspect a zone for ever.
+    pub(crate) fn is_zone_being_judged(&self, zone: &str) -> bool {
+        let settings = &self.policy.zones;
+        let max_span = Micros::from_millis(settings.silent_after_ms + settings.confirm_ms);
+        let is_newly_suspected = |state: &ZoneState| {
+            state.condition() == Condition::Suspected && self.now().since(state.entered_at()) < max_span
+        };
+        settings.enabled && self.zones.tracker.state(zone).is_some_and(is_newly_suspected)
+    }
+
     /// Whether a zone gets its work back step by step at present.
     pub(crate) fn zone_is_returning(&self, zone: &str) -> bool {
         self.handles_zone_failures() && self.zones.is_returning(zone)
--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -8,14 +8,29 @@
 };
 use burlhatch::protocol::user::JobKind;
 use burlhatch::types::{JobId, MachineId};
+use std::ops::Range;
 
 /// Part of the sockets that leaves each controller a few for more than 60 machines in the zone.
 const FEW_SOCKETS: f64 = 0.02;
 
-/// Symptom: a machine of a zone that is cut off is deleted as silent alone, in the second before the zone counts as lost.
+/// A machine of a zone that was cut off was deleted as silent alone, while the zone was suspected and not yet lost: the others of
+/// its shard there had not been probed yet, and said nothing. Seed 119020: suspected 2.8 s after the cut, "machine cordoned
+/// ... cause=Silent silence_ms=5071" for m-000007 after 3.5 s, lost after 4.3 s.
 #[test]
 fn no_machine_is_judged_alone_while_its_zone_is_being_judged() {
-    for seed in seeds(119, 24) {
+    assert_small_zone_is_left_alone(seeds(119, 24));
+}
+
+/// Symptom, not mended: two holders have two of the zone's four machines each, one of them votes against it, and that is not
+/// more than half: all four are deleted one by one.
+#[test]
+fn a_small_zone_without_a_majority_against_it_is_left_alone() {
+    assert_small_zone_is_left_alone(119_059..119_060);
+}
+
+/// Replicas wait for their leases in this course, and no machine of the zone may be deleted before.
+fn assert_small_zone_is_left_alone(seeds: Range<u64>) {
+    for seed in seeds {
         let mut policy = judging_zones();
         policy.zones.evacuate = false;
         let size = Size { nodes: 5, machines: 12, capacity: 12, write_rps: 60.0, zones: ZONES, times: TIMES };
