--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -85,7 +85,12 @@
                 lines += ["%s = %s" % (name, toml(value)) for name, value in team.items()]
             for table in ("workers", "state", "cloud", "quota"):
                 lines.append("[deployment.%s]" % table)
-                lines += ["%s = %s" % (name, toml(value)) for name, value in self.deployment[table].items()]
+                items = self.deployment[table].items()
+                lines += ["%s = %s" % (name, toml(value)) for name, value in items if not isinstance(value, dict)]
+                for name, part in items:
+                    if isinstance(part, dict):
+                        lines.append("[deployment.%s.%s]" % (table, name))
+                        lines += ["%s = %s" % (key, toml(value)) for key, value in part.items()]
             path = os.path.join(self.folder, label + ".toml")
             with open(path, "w") as file:
                 file.write("\n".join(lines) + "\n")
--- a/review/standin/state.py
+++ b/review/standin/state.py
@@ -54,6 +54,11 @@
         self.servers[node] = server
         return await server.start()
 
+    def lower(self, limits):
+        """Applies the limits that `state.next` has announced."""
+        self.settings = {**self.settings, **limits}
+        self.writes.rate = self.settings["write_rps"]
+
     def set_outage(self, on):
         self.outage = on
         if not on:
