--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -1,6 +1,7 @@
 """Controllers as separate processes, and users; everything on loopback addresses and the real clock."""
 import asyncio
 import os
+import random
 import shlex
 import shutil
 import signal
@@ -26,11 +27,15 @@
 
 
 def free_ports(count):
-    held = []
-    for _ in range(count):
+    """Ports that are free now, below those that the system gives to outgoing connections."""
+    numbers, held = random.Random(os.getpid() ^ time.time_ns()), []
+    while len(held) < count:
         one = socket.socket()
-        one.bind(("127.0.0.1", 0))
-        held.append(one)
+        try:
+            one.bind(("127.0.0.1", numbers.randrange(20000, 32000)))
+            held.append(one)
+        except OSError:
+            one.close()
     ports = [one.getsockname()[1] for one in held]
     for one in held:
         one.close()
