Stand-ins refuse transactions and values as the protocol does

Cause: neither stand-in of the store counted the 64 KiB of a transaction, and the testbed's had no limit of size at all, so no test could show a transaction that the store refuses for good. Change: the simulated world's store and the testbed's count keys, values, writes, preconditions and the whole transaction in JSON and answer with a refusal; each refusal is a violation of the run. A world's size states the limits, the testbed's configuration too. The assertions in the simulated store become refusals that fail the run.

--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -11,7 +11,7 @@
 use crate::agent::Environment;
 use crate::cloud::Cloud;
 use crate::history::History;
-use crate::store::KeyValueStore;
+use crate::store::{KeyValueStore, StoreSizeLimits};
 use burlhatch::protocol::HEALTH_PATH;
 use burlhatch::transport::client::Client;
 use hyper::Method;
@@ -56,6 +56,8 @@
     pub cancel_limit: Duration,
     /// Time between heartbeats.
     pub heartbeat_interval: Duration,
+    /// Limits of size that the store enforces and the settings state.
+    pub store_limits: StoreSizeLimits,
 }
 
 /// One controller.
@@ -127,7 +129,7 @@
             heartbeat_interval: config.heartbeat_interval,
             lease: config.lease,
         };
-        let store = KeyValueStore::default();
+        let store = KeyValueStore::with_size_limits(config.store_limits);
         let cloud = Cloud::new(&config.zones, config.max_machines, environment.clone());
         let cloud_address = network.add_server(cloud.start().await?);
         let mut controllers = BTreeMap::new();
--- a/crates/testbed/src/scenarios.rs
+++ b/crates/testbed/src/scenarios.rs
@@ -4,6 +4,7 @@
 use crate::cloud::RunningTask;
 use crate::cluster::{Cluster, ClusterConfig, ClusterError};
 use crate::history::violations;
+use crate::store::StoreSizeLimits;
 use crate::users::SimulatedUsers;
 use burlhatch::protocol::user::{JobKind, JobSpec, Priority};
 use serde::Serialize;
@@ -69,6 +70,7 @@
         lease: Duration::from_secs(45),
         cancel_limit: Duration::from_secs(65),
         heartbeat_interval: Duration::from_secs(1),
+        store_limits: StoreSizeLimits::default(),
     }
 }
 
@@ -131,7 +133,8 @@
     cluster.wait_for("all jobs to finish", END_LIMIT, |_| ids.iter().all(|id| users.is_finished(id))).await?;
     let is_idle = |cluster: &Cluster| cluster.cloud.running_tasks().is_empty();
     cluster.wait_for("all tasks to end", END_LIMIT, is_idle).await?;
-    let violations = violations(&cluster.environment.history.events(), users.task_counts());
+    let mut violations = violations(&cluster.environment.history.events(), users.task_counts());
+    violations.extend(cluster.store.oversized_transactions());
     let changes = cluster.store.write_count();
     Ok(Findings { restored_ms: restored.as_millis() as u64, in_zone, violations, changes })
 }
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -6,6 +6,7 @@
 use crate::faults::{FaultPhase, PlannedFault, apply_fault};
 use crate::history::{CancellationSummary, Event, TimedEvent, summarize_cancellations, violations};
 use crate::scenarios::job_spec;
+use crate::store::StoreSizeLimits;
 use crate::users::SimulatedUsers;
 use burlhatch::protocol::user::{JobKind, JobSpec};
 use rand::rngs::StdRng;
@@ -117,6 +118,7 @@
     let events = cluster.environment.history.events();
     let cancellations = summarize_cancellations(&events, run.timing.cancel_limit);
     violations.extend(check_history(&events, &users, &cancellations, &crashed));
+    violations.extend(cluster.store.oversized_transactions());
     if !violations.is_empty() {
         std::fs::write(run.directory.join("timeline.txt"), render_timeline(run, &events))?;
     }
@@ -182,6 +184,7 @@
         lease: run.timing.lease,
         cancel_limit: run.timing.cancel_limit,
         heartbeat_interval: run.timing.heartbeat_interval,
+        store_limits: StoreSizeLimits::default(),
     }
 }
 
--- a/crates/testbed/src/store/mod.rs
+++ b/crates/testbed/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the store: a key-value store with conditional transactions, leases and watches.
 
 mod data;
+mod size_limits;
 
 use crate::http::{ReceivedRequest, Reply, serve};
 use crate::listener::Server;
@@ -9,6 +10,7 @@
 use data::{StatusAndBody, StoreData};
 use hyper::Method;
 use serde_json::{Value, json};
+pub use size_limits::StoreSizeLimits;
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -28,6 +30,8 @@
 /// The store. Clones share its state; scenarios control it through them.
 #[derive(Clone, Default)]
 pub struct KeyValueStore {
+    size_limits: StoreSizeLimits,
+    oversized: Arc<Mutex<Vec<String>>>,
     late_transactions: Arc<Mutex<LateTransactions>>,
     transaction_count: Arc<AtomicU64>,
     data: Arc<Mutex<StoreData>>,
@@ -35,6 +39,16 @@
 }
 
 impl KeyValueStore {
+    /// Creates an empty store with limits of size.
+    pub fn with_size_limits(size_limits: StoreSizeLimits) -> KeyValueStore {
+        KeyValueStore { size_limits, ..KeyValueStore::default() }
+    }
+
+    /// Returns why each transaction that exceeded a limit of size was refused.
+    pub fn oversized_transactions(&self) -> Vec<String> {
+        self.oversized.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Starts an endpoint for one controller. It refuses all requests while `is_refusing` is set.
     pub(crate) async fn start(&self, is_refusing: Arc<AtomicBool>) -> io::Result<Server> {
         let store = self.clone();
@@ -119,6 +133,10 @@
 
     fn commit(&self, request: &ReceivedRequest) -> Reply {
         let Ok(txn) = decode::<Txn>(&request.body) else { return Some((400, json!({"error": "malformed"}))) };
+        if let Some(reason) = self.size_limits.reason_to_refuse(&txn) {
+            self.oversized.lock().unwrap_or_else(PoisonError::into_inner).push(reason.clone());
+            return Some((400, json!({"error": reason})));
+        }
         if let Some(delay) = self.delay_of_next_transaction() {
             let store = self.clone();
             tokio::spawn(async move {
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -1,7 +1,8 @@
 //! Faults that scenarios inject, and changes of versions and limits.
 
 use super::network::{Cut, LateCommands};
-use super::{Endpoint, Event, Limits, MS, S, World};
+use super::store::LoweredLimits;
+use super::{Endpoint, Event, Limits, MS, S, SizeLimits, World};
 use burlhatch::types::MachineId;
 use ciborium::Value;
 use std::collections::BTreeSet;
@@ -226,7 +227,8 @@
     /// Lowers the store's limits for values, transactions and writes per second at that time, and announces them in the
     /// settings of the controllers that start from now on.
     pub fn lower_limits_at(&mut self, at: u64, value: usize, ops: usize, write_rps: f64) {
-        self.store.lowered_limits = Some((at, value, ops, write_rps));
+        let sizes = SizeLimits { value_bytes: value, txn_writes: ops, ..self.size.store_sizes };
+        self.store.lowered_limits = Some(LoweredLimits { at, sizes, write_rps });
         self.next_limits = format!(
             "[deployment.state.next]\nwrite_rps = {write_rps:?}\nvalue_kb = {}.0\ntxn_ops = {ops}\n",
             value / 1024
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -32,8 +32,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
-pub use store::Limits;
 use store::Store;
+pub use store::{Limits, SizeLimits};
 pub use users::UserJob;
 use users::{JobRequest, PendingRequest};
 
@@ -69,16 +69,25 @@
     pub write_rps: f64,
     pub zones: &'static [&'static str],
     pub times: Times,
+    /// Sizes that the store accepts, as the settings state them.
+    pub store_sizes: SizeLimits,
 }
 
-pub const SMALL: Size = Size { nodes: 3, machines: 5, capacity: 14, write_rps: 50.0, zones: &["a", "b"], times: TIMES };
-pub const LARGE: Size =
-    Size { nodes: 5, machines: 200, capacity: 260, write_rps: 30.0, zones: &["a", "b"], times: TIMES };
-pub const FLEET: Size =
-    Size { nodes: 5, machines: 1000, capacity: 1300, write_rps: 35.0, zones: &["a", "b", "c", "d"], times: TIMES };
+pub const SMALL: Size = Size {
+    nodes: 3,
+    machines: 5,
+    capacity: 14,
+    write_rps: 50.0,
+    zones: &["a", "b"],
+    times: TIMES,
+    store_sizes: SizeLimits::stated(4, 12),
+};
+pub const LARGE: Size = Size { nodes: 5, machines: 200, capacity: 260, write_rps: 30.0, ..SMALL };
+pub const FLEET: Size = Size { machines: 1000, capacity: 1300, write_rps: 35.0, zones: &["a", "b", "c", "d"], ..LARGE };
 
 fn settings(node: usize, size: Size) -> String {
-    let Size { nodes, write_rps, zones, times, .. } = size;
+    let Size { nodes, write_rps, zones, times, store_sizes, .. } = size;
+    let (value_kb, txn_ops) = (store_sizes.value_bytes as f64 / 1024.0, store_sizes.txn_writes);
     let [heartbeat_s, lease_s, cancel_s] =
         [times.heartbeat, times.lease, times.cancel].map(|span| span as f64 / S as f64);
     let mut text =
@@ -94,7 +103,7 @@
     }
     text += &format!(
         "[deployment.workers]\nreport_s = {heartbeat_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = {cancel_s:?}\n\
-         [deployment.state]\nrps = 200.0\nwrite_rps = {write_rps}\nvalue_kb = 4.0\ntxn_ops = 12\n\
+         [deployment.state]\nrps = 200.0\nwrite_rps = {write_rps}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\
          [deployment.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n[deployment.quota]\nfd_limit = 1000\n"
     );
     text
@@ -284,7 +293,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             nodes: Vec::new(),
-            store: Store::new(size.write_rps),
+            store: Store::new(size.write_rps, size.store_sizes),
             cloud: Cloud::new(size.capacity),
             agents: BTreeMap::new(),
             cuts: Vec::new(),
--- a/tests/rules/world/store.rs
+++ b/tests/rules/world/store.rs
@@ -6,6 +6,72 @@
 use ciborium::Value;
 use std::collections::{BTreeMap, VecDeque};
 
+/// Maximum size of a transaction in its JSON form, in bytes.
+const MAX_TXN_BYTES: usize = 64 * 1024;
+/// Preconditions that a transaction may have for each write that it may have.
+const PRECONDITIONS_PER_WRITE: usize = 4;
+/// Maximum length of a key in bytes.
+const MAX_KEY_BYTES: usize = 200;
+
+/// Limits of the sizes of values and transactions.
+#[derive(Clone, Copy, Debug)]
+pub struct SizeLimits {
+    /// Bytes of a value at most.
+    pub value_bytes: usize,
+    /// Writes of a transaction at most.
+    pub txn_writes: usize,
+    /// Bytes of a transaction at most.
+    pub txn_bytes: usize,
+}
+
+impl SizeLimits {
+    /// Returns the limits of a deployment whose settings state these for values and writes.
+    pub const fn stated(value_kb: usize, txn_writes: usize) -> SizeLimits {
+        SizeLimits { value_bytes: value_kb * 1024, txn_writes, txn_bytes: MAX_TXN_BYTES }
+    }
+
+    /// Returns why the store refuses a transaction for good, or `None` if it accepts transactions of this size. All
+    /// sizes are counted in the JSON form.
+    fn reason_to_refuse(&self, txn: &Txn) -> Option<String> {
+        let bytes = json_bytes(txn);
+        let max_preconditions = self.txn_writes * PRECONDITIONS_PER_WRITE;
+        if bytes > self.txn_bytes {
+            return Some(format!("{bytes} bytes"));
+        }
+        if txn.writes.len() > self.txn_writes {
+            return Some(format!("{} writes", txn.writes.len()));
+        }
+        if txn.preconditions.len() > max_preconditions {
+            return Some(format!("{} preconditions", txn.preconditions.len()));
+        }
+        let written_keys = txn.writes.iter().map(|write| match write {
+            Write::Put { key, .. } | Write::Delete { key } => key,
+        });
+        let mut keys = written_keys.chain(txn.preconditions.iter().map(|precondition| &precondition.key));
+        if let Some(key) = keys.find(|key| key.is_empty() || key.len() > MAX_KEY_BYTES || key.contains(' ')) {
+            return Some(format!("key {key:?}"));
+        }
+        txn.writes.iter().find_map(|write| match write {
+            Write::Put { key, value, .. } if json_bytes(value) > self.value_bytes => {
+                Some(format!("{} bytes in the value of {key}", json_bytes(value)))
+            }
+            Write::Put { .. } | Write::Delete { .. } => None,
+        })
+    }
+}
+
+fn json_bytes(data: &impl serde::Serialize) -> usize {
+    serde_json::to_string(data).expect("plain data").len()
+}
+
+/// Limits that replace the stated ones from some time on.
+#[derive(Clone, Copy)]
+pub struct LoweredLimits {
+    pub at: u64,
+    pub sizes: SizeLimits,
+    pub write_rps: f64,
+}
+
 /// Limits of the protocol that only a large deployment reaches; the tests lower them.
 #[derive(Clone, Copy)]
 pub struct Limits {
@@ -53,7 +119,6 @@
     pub after: u64,
 }
 
-#[derive(Default)]
 pub struct Store {
     pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
     revision: u64,
@@ -77,9 +142,12 @@
     pub write_count: u64,
     /// Requests received, including those above the limit.
     pub request_count: u64,
-    /// Time from which lower limits apply, then these limits: bytes of a value, writes of a transaction and writes per
-    /// second.
-    pub lowered_limits: Option<(u64, usize, usize, f64)>,
+    stated_sizes: SizeLimits,
+    pub lowered_limits: Option<LoweredLimits>,
+    /// Whether transactions above the limits of size are part of the test; otherwise each is a violation.
+    pub expects_oversized_txns: bool,
+    /// Transactions refused for good because of their size.
+    pub oversized_count: u64,
 }
 
 /// Returns the input for a controller whose request failed without an answer.
@@ -95,8 +163,29 @@
 }
 
 impl Store {
-    pub fn new(write_rps: f64) -> Store {
-        Store { write_rps, write_bucket: TokenBucket { tokens: write_rps, updated_at: 0 }, ..Store::default() }
+    pub fn new(write_rps: f64, stated_sizes: SizeLimits) -> Store {
+        Store {
+            keys: BTreeMap::new(),
+            revision: 0,
+            log: VecDeque::new(),
+            compacted_revision: 0,
+            limits: Limits::default(),
+            request_bucket: TokenBucket::default(),
+            leases: BTreeMap::new(),
+            next_lease: 0,
+            watches: BTreeMap::new(),
+            down_until: 0,
+            refused_until: BTreeMap::new(),
+            write_rps,
+            write_bucket: TokenBucket { tokens: write_rps, updated_at: 0 },
+            rate_limited_count: 0,
+            write_count: 0,
+            request_count: 0,
+            stated_sizes,
+            lowered_limits: None,
+            expects_oversized_txns: false,
+            oversized_count: 0,
+        }
     }
 
     /// Counts a request and returns whether it is within the limit.
@@ -124,10 +213,8 @@
 
     /// Returns whether that many writes are within the limit per second, and uses it if so.
     fn admits(&mut self, now: u64, changes: usize) -> bool {
-        if let Some((at, _, _, rate)) = self.lowered_limits
-            && now >= at
-        {
-            self.write_rps = rate;
+        if let Some(lowered) = self.lowered_limits.filter(|lowered| now >= lowered.at) {
+            self.write_rps = lowered.write_rps;
         }
         let admitted = self.write_bucket.admits(now, self.write_rps, changes);
         self.rate_limited_count += u64::from(!admitted);
@@ -181,7 +268,7 @@
         let mut bytes = 0;
         let mut rows = self.keys.iter().filter(|(key, _)| after.is_none_or(|after| *key > after)).peekable();
         while let Some((key, (value, version, _))) = rows.peek() {
-            bytes += key.len() + serde_json::to_string(value).expect("plain data").len();
+            bytes += key.len() + json_bytes(value);
             if items.len() == self.limits.page_items || (!items.is_empty() && bytes > self.limits.page_bytes) {
                 break;
             }
@@ -191,28 +278,17 @@
         Page { items, more: rows.peek().is_some(), revision: self.revision }
     }
 
-    /// Returns the maximum writes of a transaction and bytes of a value, as of the last transaction.
-    fn txn_limits(&self) -> (usize, usize) {
-        match self.lowered_limits {
-            Some((at, value, ops, _)) if self.write_bucket.updated_at >= at => (ops, value),
-            _ => (12, 4096),
-        }
-    }
-
-    /// Returns whether a transaction is within the present limits of its size.
-    fn allows(&self, txn: &Txn) -> bool {
-        let (ops_max, value_max) = self.txn_limits();
-        let fits = |write: &Write| match write {
-            Write::Put { value, .. } => serde_json::to_string(value).expect("plain data").len() <= value_max,
-            Write::Delete { .. } => true,
-        };
-        txn.writes.len() <= ops_max && txn.preconditions.len() <= ops_max * 4 && txn.writes.iter().all(fits)
+    /// Returns the limits of size as of the last transaction.
+    fn sizes(&self) -> SizeLimits {
+        let lowered = self.lowered_limits.filter(|lowered| self.write_bucket.updated_at >= lowered.at);
+        lowered.map_or(self.stated_sizes, |lowered| lowered.sizes)
     }
 
     fn txn(&mut self, txn: &Txn) -> TxnOutcome {
-        let (ops_max, value_max) = self.txn_limits();
-        assert!(txn.writes.len() <= ops_max, "too many writes in one transaction");
-        assert!(txn.preconditions.len() <= ops_max * 4, "too many preconditions in one transaction");
+        if self.sizes().reason_to_refuse(txn).is_some() {
+            self.oversized_count += 1;
+            return TxnOutcome::Invalid;
+        }
         let lost = txn
             .writes
             .iter()
@@ -231,8 +307,6 @@
         for write in &txn.writes {
             match write {
                 Write::Put { key, value, lease } => {
-                    let size = serde_json::to_string(value).expect("plain data").len();
-                    assert!(size <= value_max, "value of {key} has {size} bytes");
                     self.keys.insert(key.clone(), (value.clone(), self.revision, *lease));
                     self.append_to_log(key.clone(), Some(value.clone()));
                 }
@@ -307,7 +381,7 @@
         }
         if let StoreCall::Txn { txn, .. } = &request
             && !self.open_calls.contains_key(&call)
-            && !self.store.allows(txn)
+            && self.store.sizes().reason_to_refuse(txn).is_some()
         {
             // A late copy that exceeds the limits lowered meanwhile; the store refuses it with 400, and no caller waits
             // for the answer.
@@ -321,6 +395,12 @@
                 self.report_violation(violation);
             }
         }
+        if let (StoreCall::Txn { txn, .. }, Input::Txn { outcome: TxnOutcome::Invalid, .. }) = (&request, &input)
+            && !self.store.expects_oversized_txns
+        {
+            let reason = self.store.sizes().reason_to_refuse(txn);
+            self.report_violation(format!("the store refuses a transaction for good: {reason:?}"));
+        }
         self.reply(Endpoint::Store, node, generation, call, input);
         self.wake_watches();
     }
--- a/tests/rules/zone_cuts.rs
+++ b/tests/rules/zone_cuts.rs
@@ -2,7 +2,7 @@
 //! prove their absence, and nothing else in the zone is affected.
 
 use super::seeds;
-use super::world::{MS, S, Size, TIMES, World};
+use super::world::{MS, S, SMALL, Size, TIMES, World};
 use super::zone_scenario::{
     CUT_DURATION, ControllerCrash, FIRST_EXPIRY, Loss, OBSERVED_SPAN, Outcome, Scenario, ZONES, policy_with_zones,
     run_scenario, world_with_services,
@@ -36,7 +36,7 @@
     for seed in seeds {
         let mut policy = policy_with_zones();
         policy.zones.evacuate = false;
-        let size = Size { nodes: 5, machines: 12, capacity: 12, write_rps: 60.0, zones: ZONES, times: TIMES };
+        let size = Size { nodes: 5, machines: 12, capacity: 12, write_rps: 60.0, zones: ZONES, times: TIMES, ..SMALL };
         let spec = World::spec(JobKind::Service, "green", 1, 1.0);
         let (mut world, _) = world_with_services(seed, policy, size, 36, &spec);
         world.run_for(30 * S);
@@ -145,7 +145,7 @@
 #[test]
 fn room_for_some_replicas_is_used_though_machines_run_several_services() {
     for seed in seeds(125, 6) {
-        let size = Size { nodes: 3, machines: 24, capacity: 24, write_rps: 50.0, zones: ZONES, times: TIMES };
+        let size = Size { nodes: 3, machines: 24, capacity: 24, write_rps: 50.0, zones: ZONES, times: TIMES, ..SMALL };
         // Two replicas fill a machine, and two machines remain free.
         let spec = World::spec(JobKind::Service, "green", 1, 2.0);
         let (mut world, services) = world_with_services(seed, policy_with_zones(), size, 44, &spec);
@@ -172,7 +172,7 @@
 #[test]
 fn a_machine_whose_services_are_cancelled_is_not_evacuated() {
     for seed in seeds(126, 3) {
-        let size = Size { nodes: 3, machines: 24, capacity: 30, write_rps: 50.0, zones: ZONES, times: TIMES };
+        let size = Size { nodes: 3, machines: 24, capacity: 30, write_rps: 50.0, zones: ZONES, times: TIMES, ..SMALL };
         let spec = World::spec(JobKind::Service, "green", 1, 2.0);
         let (mut world, services) = world_with_services(seed, policy_with_zones(), size, 24, &spec);
         world.run_for(30 * S);
@@ -201,7 +201,7 @@
 #[test]
 fn a_machine_that_hangs_elsewhere_while_a_zone_is_away_is_replaced() {
     for seed in seeds(127, 4) {
-        let size = Size { nodes: 3, machines: 90, capacity: 110, write_rps: 60.0, zones: ZONES, times: TIMES };
+        let size = Size { nodes: 3, machines: 90, capacity: 110, write_rps: 60.0, zones: ZONES, times: TIMES, ..SMALL };
         let spec = World::spec(JobKind::Service, "green", 2, 1.0);
         let (mut world, services) = world_with_services(seed, policy_with_zones(), size, 10, &spec);
         world.run_for(30 * S);
--- a/tests/rules/zone_scenario.rs
+++ b/tests/rules/zone_scenario.rs
@@ -1,7 +1,7 @@
 //! A scenario with many variations: services run in all zones, and one zone is lost. The outcome says when their
 //! replicas run in other zones and which machines of the zone are deleted.
 
-use super::world::{MS, S, Size, TIMES, World};
+use super::world::{MS, S, SMALL, Size, TIMES, World};
 use super::{assert_no_violations, policy_keeping_idle_machines};
 use burlhatch::protocol::user::{JobKind, JobSpec};
 use burlhatch::settings::{Policy, ZoneSettings};
@@ -140,8 +140,15 @@
 impl<'a> ScenarioRun<'a> {
     fn start(scenario: &'a Scenario) -> ScenarioRun<'a> {
         let Scenario { seed, machines, nodes, zone, .. } = *scenario;
-        let size =
-            Size { nodes, machines, capacity: machines + machines / 10, write_rps: 50.0, zones: ZONES, times: TIMES };
+        let size = Size {
+            nodes,
+            machines,
+            capacity: machines + machines / 10,
+            write_rps: 50.0,
+            zones: ZONES,
+            times: TIMES,
+            ..SMALL
+        };
         let spec = JobSpec { spread: true, ..World::spec(JobKind::Service, "green", scenario.replicas, 1.0) };
         let (mut world, services) = world_with_services(seed, scenario.policy.clone(), size, scenario.services, &spec);
         world.heartbeat_copies = scenario.heartbeat_copies;
--- a/tests/rules/zones.rs
+++ b/tests/rules/zones.rs
@@ -1,7 +1,7 @@
 //! Zones that are lost and return: services are restored first and never run twice, work returns in steps, and a zone
 //! that only one controller can't reach is not lost.
 
-use super::world::{Endpoint, MS, S, Size, TIMES, World};
+use super::world::{Endpoint, MS, S, SMALL, Size, TIMES, World};
 use super::{
     assert_no_violations, cancel_services, finish_all_jobs, policy_keeping_idle_machines, seeds, submit_mixed_jobs,
 };
@@ -12,7 +12,7 @@
 use ciborium::Value;
 
 const THREE_ZONES: Size =
-    Size { nodes: 5, machines: 24, capacity: 48, write_rps: 60.0, zones: &["a", "b", "c"], times: TIMES };
+    Size { nodes: 5, machines: 24, capacity: 48, write_rps: 60.0, zones: &["a", "b", "c"], times: TIMES, ..SMALL };
 /// With ninety machines each shard has several in each zone, so that none is replaced as a single silent one.
 const NINETY_MACHINES: Size = Size { machines: 90, capacity: 110, ..THREE_ZONES };
 /// The agents' lease: unless a machine is deleted, no replica of a zone that is cut off starts elsewhere before its
@@ -590,8 +590,15 @@
 /// again are probed before them: with this seed there were six (see `zone_cuts`).
 #[test]
 fn a_zone_with_a_third_of_four_thousand_machines_is_cut_off() {
-    let size =
-        Size { nodes: 5, machines: 4000, capacity: 4400, write_rps: 50.0, zones: &["a", "b", "c"], times: TIMES };
+    let size = Size {
+        nodes: 5,
+        machines: 4000,
+        capacity: 4400,
+        write_rps: 50.0,
+        zones: &["a", "b", "c"],
+        times: TIMES,
+        ..SMALL
+    };
     let mut world = World::sized(118_000, policy_with_zones(), size);
     world.cloud.never_up = 0;
     let mut spec = World::spec(JobKind::Service, "green", 20, 1.0);
--- a/tests/rules/zones_measured.rs
+++ b/tests/rules/zones_measured.rs
@@ -3,7 +3,7 @@
 //!     BURLHATCH_SAMPLES=FILE cargo test --release --test rules measure_zones -- --ignored
 //!     cargo run -p burlhatch-testbed -- report FILE PAGE
 
-use super::world::{MS, S, Size, TIMES, World};
+use super::world::{MS, S, SMALL, Size, TIMES, World};
 use super::{assert_no_violations, policy_keeping_idle_machines};
 use burlhatch::protocol::user::{JobKind, JobState};
 use burlhatch::settings::{Policy, ZoneSettings};
@@ -18,7 +18,15 @@
 const WAVE_INTERVAL: u64 = 5 * S;
 
 fn cluster_size(machines: usize) -> Size {
-    Size { nodes: 5, machines, capacity: machines * 13 / 10, write_rps: 50.0, zones: &["a", "b", "c"], times: TIMES }
+    Size {
+        nodes: 5,
+        machines,
+        capacity: machines * 13 / 10,
+        write_rps: 50.0,
+        zones: &["a", "b", "c"],
+        times: TIMES,
+        ..SMALL
+    }
 }
 
 fn variants() -> Vec<(&'static str, ZoneSettings)> {
