Job records stay within every limit of a transaction, and a refusal for good is not repeated

Jobs whose records were in the same transaction waited with it. Cause: a transaction with job records was bounded by its number of writes and preconditions, and each chunk by the size of a value, but nothing counted the 64 KiB altogether. With 48 writes a transaction, 23 chunks of 128 starts exceed it. The store answers 400; the controller dropped its decisions, made the same ones from the same state and sent the same transaction. That the rate limit or a precondition refused it (409, 429) or that no machine counted as free is ruled out by the answers and by the starts that were decided each time. Change: txn_limits alone decides whether a transaction, or a part of one, is within all limits (writes, preconditions, 64 KiB, size of a value, keys; the lower of the present and the announced ones, counted in JSON). A proposal knows its size; job records, machine moves, deletions, garbage collection and cascaded cancellations take as many parts as fit. What is left out of a transaction stays decided and follows in the next; the tasks of a gang keep their attempt number in it. Nothing above a limit is sent. A refusal for good is logged with sizes and counted; it halves the limits of the next transactions, jobs that were together are written alone, a job that can't be written in smaller parts pauses, and the same transaction is never sent again.

--- a/src/coordination/api/submissions.rs
+++ b/src/coordination/api/submissions.rs
@@ -12,11 +12,15 @@
 use crate::coordination::store_sync::TxnEnd;
 use crate::coordination::store_sync::evidence::FreshnessProof;
 use crate::coordination::{Controller, RequestId, UserAnswer};
+use crate::protocol::json_size;
 use crate::protocol::user::{JobKind, JobSpec, Submission};
 use crate::storage::schema::{JobBatchMember, JobRecord};
 use crate::types::{JobId, Micros, Revision};
 use std::collections::{HashMap, VecDeque};
 
+/// Bytes of a batch with one entry besides that entry: brackets.
+const BATCH_OVERHEAD_BYTES: usize = 2;
+
 /// The form in which a submission is written to the store.
 pub(crate) enum StoredForm {
     /// An entry of a batch.
@@ -149,8 +153,8 @@
             id,
             record: JobRecord { accepted_at: self.clock.wall, dependency_list_parts: None, spec },
         };
-        let size = serde_json::to_string(&member).map_or(0, |text| text.len());
-        if size <= self.platform.deployment.store.value_bytes() {
+        let size = json_size(&member);
+        if size <= self.store.txn_limits().value_bytes - BATCH_OVERHEAD_BYTES {
             Ok(StoredForm::Entry(member))
         } else if member.record.spec.depends_on.is_empty() {
             Err(SubmissionTooLarge)
@@ -170,8 +174,21 @@
         }
     }
 
+    /// Handles the end of a batch's transaction, whether or not it was committed. A job that the store refuses for good,
+    /// alone and in the smallest form, can't be accepted.
+    pub(crate) fn submission_batch_finished(&mut self, jobs: &[SubmittedJob], end: &TxnEnd) {
+        match (jobs, end) {
+            ([job], TxnEnd::Rejected { may_be_smaller: false }) => {
+                for request in self.api.submissions.take_waiting(&job.id) {
+                    self.api.wait_for_replica(request, Query::Submission(job.id.clone(), None), None);
+                }
+            }
+            _ => jobs.iter().for_each(|job| self.submission_txn_finished(job, end)),
+        }
+    }
+
     /// Handles the end of the transaction whose batch contains the job, whether or not it was committed.
-    pub(crate) fn submission_txn_finished(&mut self, job: &SubmittedJob, end: &TxnEnd) {
+    fn submission_txn_finished(&mut self, job: &SubmittedJob, end: &TxnEnd) {
         let id = &job.id;
         if let TxnEnd::Committed(evidence) = end
             && evidence.revision() > self.store.replica.applied_revision
--- a/src/coordination/autoscaling/deletion.rs
+++ b/src/coordination/autoscaling/deletion.rs
@@ -118,17 +118,15 @@
     }
 
     fn delete_machine_records_as(&mut self, change: MachineChange, ids: &[MachineId]) {
-        for ids in ids.chunks(self.platform.deployment.store.min_txn_ops()) {
-            let mut proposal = ProposedTxn::default();
-            for id in ids {
-                self.propose_record_removal(&mut proposal, id);
-            }
-            self.submit_txn(proposal, TxnPurpose::Machines(change, ids.to_vec()));
+        let removals = ids.iter().map(|id| (id.clone(), self.propose_record_removal(id)));
+        for (ids, proposal) in self.store.txn_limits().pack(removals) {
+            self.submit_txn(proposal, TxnPurpose::Machines(change, ids));
         }
     }
 
-    fn propose_record_removal(&self, proposal: &mut ProposedTxn, id: &MachineId) {
+    fn propose_record_removal(&self, id: &MachineId) -> ProposedTxn {
         let replica = &self.store.replica;
+        let mut proposal = ProposedTxn::default();
         let key = Key::Machine(id.clone());
         proposal.unchanged(replica, key.clone());
         // While a fleet record names the machine, its own record must be kept and mark it as deleted.
@@ -139,5 +137,6 @@
             }
             _ => proposal.delete(key),
         }
+        proposal
     }
 }
--- a/src/coordination/fleet/shard_moves.rs
+++ b/src/coordination/fleet/shard_moves.rs
@@ -106,8 +106,8 @@
 
     /// Assigns machines to their new shards, as many as one transaction takes, on the precondition that the roles are
     /// unchanged.
-    fn send_moves_under(&mut self, roles: &[Role], mut moves: Vec<ShardMove>) {
-        moves.truncate(self.platform.deployment.store.min_txn_ops() - 1);
+    fn send_moves_under(&mut self, roles: &[Role], moves: Vec<ShardMove>) {
+        let limits = self.store.txn_limits();
         let fencing_token = self.store.replica.next_fencing_token();
         let mut proposal = ProposedTxn::default();
         proposal.unchanged(&self.store.replica, Key::FencingToken);
@@ -119,8 +119,12 @@
         for ShardMove { machine: id, to } in moves {
             let Some(stored) = self.store.replica.machines.get(&id) else { continue };
             let record = MachineRecord { shard: to, fencing_token, cordon: None, ..stored.value.clone() };
-            proposal.unchanged(&self.store.replica, Key::Machine(id.clone()));
-            proposal.put(Key::Machine(id.clone()), to_value(&record));
+            let mut part = ProposedTxn::default();
+            part.unchanged(&self.store.replica, Key::Machine(id.clone()));
+            part.put(Key::Machine(id.clone()), to_value(&record));
+            if !limits.append_within(&mut proposal, part) {
+                break;
+            }
             self.fleet.machine_or_insert(&id).record_change_started();
             ids.push(id);
         }
--- a/src/coordination/jobs/attempt_events.rs
+++ b/src/coordination/jobs/attempt_events.rs
@@ -106,10 +106,12 @@
         self.scheduling.request_cycle();
     }
 
-    /// Handles the end of a transaction on the job's chunks, whether or not it was committed.
-    pub(crate) fn job_txn_finished(&mut self, id: &JobId) {
+    /// Handles the end of a transaction on the job's chunks. If it was not committed, everything is decided again.
+    pub(crate) fn job_txn_finished(&mut self, id: &JobId, is_committed: bool) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.recording.is_txn_in_flight = false;
+            job.recording.is_continued &= is_committed;
+            job.recording.is_written_alone &= !is_committed;
         }
         self.reconcile_job(id);
         // Attempts that a refused transaction should have removed from the records still have to be removed.
--- a/src/coordination/jobs/dependencies.rs
+++ b/src/coordination/jobs/dependencies.rs
@@ -148,16 +148,19 @@
         if self.jobs.cascaded.is_empty() || self.store.is_cascade_pending() {
             return;
         }
-        let max_count = self.platform.deployment.store.min_txn_ops();
+        let limits = self.store.txn_limits();
         let is_held_here = |id: &&JobId| self.jobs.get(id).is_some_and(|job| self.holds(Role::Shard(job.shard)));
-        let ids: Vec<JobId> = self.jobs.cascaded.iter().filter(is_held_here).take(max_count).cloned().collect();
-        if ids.is_empty() {
-            return;
-        }
         let mut proposal = ProposedTxn::default();
-        for id in ids {
-            proposal.unchanged(&self.store.replica, Key::Outcome(id.clone()));
-            proposal.put(Key::Outcome(id), to_value(&OutcomeRecord::cancelled(self.clock.wall)));
+        for id in self.jobs.cascaded.iter().filter(is_held_here) {
+            let mut cancellation = ProposedTxn::default();
+            cancellation.unchanged(&self.store.replica, Key::Outcome(id.clone()));
+            cancellation.put(Key::Outcome(id.clone()), to_value(&OutcomeRecord::cancelled(self.clock.wall)));
+            if !limits.append_within(&mut proposal, cancellation) {
+                break;
+            }
+        }
+        if proposal.write_count() == 0 {
+            return;
         }
         self.submit_txn(proposal, TxnPurpose::CascadedCancellations);
     }
--- a/src/coordination/jobs/job.rs
+++ b/src/coordination/jobs/job.rs
@@ -9,6 +9,10 @@
 use crate::types::{JobId, Micros, Resources};
 use std::sync::Arc;
 
+/// Bounds of the pause after the store has refused a job's records for good.
+const MIN_REJECTION_PAUSE: Micros = Micros::from_millis(1000);
+const MAX_REJECTION_PAUSE: Micros = Micros::from_millis(60_000);
+
 /// A job that has a record, or had one and still has attempts or chunks to be removed.
 pub(crate) struct Job {
     pub spec: Arc<JobSpec>,
@@ -44,6 +48,14 @@
     pub first_unrecorded_completion_at: Option<Micros>,
     /// The time after which chunks that exceeded the size limit of a value are written again.
     pub retry_too_large_at: Micros,
+    /// Whether the last transaction left out decided attempts, which follow in the next one.
+    pub is_continued: bool,
+    /// Whether its changes go into a transaction without other jobs, because the store refused one with them for good.
+    pub is_written_alone: bool,
+    /// The time before which no attempt is decided or recorded, after the store has refused the job's records for good.
+    pub rejected_until: Micros,
+    /// The pause after the next such refusal.
+    rejection_pause: Micros,
 }
 
 impl RecordingState {
@@ -54,9 +66,25 @@
             first_unrecorded_change_at: None,
             first_unrecorded_completion_at: None,
             retry_too_large_at: Micros::ZERO,
+            is_continued: false,
+            is_written_alone: false,
+            rejected_until: Micros::ZERO,
+            rejection_pause: MIN_REJECTION_PAUSE,
         }
     }
 
+    /// Whether decided attempts are in a transaction that has not ended, or follow in the next one.
+    pub fn is_recording_attempts(&self) -> bool {
+        self.is_txn_in_flight || self.is_continued
+    }
+
+    /// Notes that the store has refused the job's records for good, though they were alone in their transaction and as
+    /// small as possible. Each refusal doubles the pause.
+    pub fn note_rejected(&mut self, now: Micros) {
+        self.rejected_until = now + self.rejection_pause;
+        self.rejection_pause = Micros(self.rejection_pause.0 * 2).min(MAX_REJECTION_PAUSE);
+    }
+
     /// Marks a change that is not in the records yet; keeps the time of an earlier unrecorded change.
     pub fn mark_changed(&mut self, now: Micros) {
         self.first_unrecorded_change_at.get_or_insert(now);
--- a/src/coordination/jobs/reconciliation.rs
+++ b/src/coordination/jobs/reconciliation.rs
@@ -33,7 +33,7 @@
     fn remove_unrecorded_attempts(&mut self, chunk: &RunChunk, tasks: Range<u32>, usage: &mut Usage) -> Vec<MachineId> {
         let recorded = chunk.attempts_by_task();
         let is_being_recorded =
-            |attempt: &TaskAttempt| self.recording.is_txn_in_flight && attempt.state() == AttemptState::Decided;
+            |attempt: &TaskAttempt| self.recording.is_recording_attempts() && attempt.state() == AttemptState::Decided;
         let is_unrecorded = |task: u32, attempt: &TaskAttempt| match recorded.get(&task) {
             Some(start) => start.attempt != attempt.number || start.machine != *attempt.machine(),
             None => !is_being_recorded(attempt),
@@ -97,6 +97,7 @@
         self.progress.unrecorded_done.clear();
         self.progress.retry_at.clear();
         self.recording.first_unrecorded_change_at = None;
+        self.recording.is_continued = false;
         let is_recorded = |attempt: &TaskAttempt| attempt.state() != AttemptState::Decided;
         let recorded: Vec<u32> =
             self.attempts.iter().filter(|(_, attempt)| is_recorded(attempt)).map(|(task, _)| task).collect();
--- a/src/coordination/scheduling/cycle.rs
+++ b/src/coordination/scheduling/cycle.rs
@@ -33,7 +33,7 @@
     fn schedule_job(&mut self, id: &JobId, views: &mut HashMap<u32, ShardView>) {
         let Some(job) = self.jobs.get(id) else { return };
         let shard = job.shard;
-        if job.outcome.is_some() || !self.can_be_scheduled(job) {
+        if job.outcome.is_some() || self.now() < job.recording.rejected_until || !self.can_be_scheduled(job) {
             return;
         }
         let is_gang = job.spec.kind == JobKind::Gang;
@@ -110,13 +110,23 @@
         }
     }
 
+    /// Marks a gang as blocked whose attempts the stored records can't hold together, and logs it once.
+    fn block_gang_without_space(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.scheduling.is_blocked_by_full_chunks) else { return };
+        job.scheduling.is_blocked_by_full_chunks = true;
+        tracing::warn!(job = %id, tasks = job.spec.tasks, "gang not started: its records exceed the store's limits");
+    }
+
     /// Starts all tasks of a gang in one cycle or none: step 6 of the design.
     fn schedule_gang(&mut self, id: &JobId, view: &mut ShardView) {
         let Some(job) = self.jobs.get(id) else { return };
         let all_wait = job.attempts.is_empty() && job.waiting_count() >= job.spec.tasks;
-        if !all_wait || !self.chunk_has_space(id, job, 0) || !job.may_start(self.now()) {
+        if !all_wait || !job.may_start(self.now()) {
             return;
         }
+        if !self.chunks_have_space_for_gang(id, job) {
+            return self.block_gang_without_space(id);
+        }
         let zones: Vec<Option<String>> =
             if job.spec.one_zone { view.zones().into_iter().map(Some).collect() } else { vec![None] };
         for avoid_failed_machines in [true, false] {
--- a/src/coordination/store_sync/dispatcher.rs
+++ b/src/coordination/store_sync/dispatcher.rs
@@ -22,12 +22,16 @@
     /// Adds a pending transaction and returns its ticket.
     fn add_txn(&mut self, proposal: ProposedTxn, purpose: TxnPurpose, stage: TxnStage) -> u64 {
         let ticket = self.next_ticket();
-        self.txns.insert(ticket, PendingTxn::new(proposal.into_txn(), purpose, stage));
+        self.txns.insert(ticket, PendingTxn::new(proposal, purpose, stage));
         ticket
     }
 
     /// Marks a transaction as in flight, spends its writes from the write budget, and returns the call that sends it.
+    /// Returns `None` if the transaction must not be sent.
     fn start_txn(&mut self, ticket: u64, now: Micros) -> Option<StoreCall> {
+        if self.withhold_if_refusable(ticket, now) {
+            return None;
+        }
         let pending = self.txns.get_mut(ticket)?;
         pending.stage = TxnStage::InFlight;
         pending.sent_at = self.logical_clock.tick();
--- a/src/coordination/store_sync/garbage_collection.rs
+++ b/src/coordination/store_sync/garbage_collection.rs
@@ -74,21 +74,24 @@
         }
         self.store.garbage_collection.next_at = now + COLLECTION_INTERVAL;
         self.store.garbage_collection.observe_lists(&self.store.replica, now);
-        let keys = self.garbage(self.platform.deployment.store.min_txn_ops());
-        if keys.is_empty() {
-            return;
-        }
+        let limits = self.store.txn_limits();
         let mut proposal = ProposedTxn::default();
         proposal.unchanged(&self.store.replica, Key::Role(Role::Leader));
-        for key in keys {
-            proposal.unchanged(&self.store.replica, key.clone());
-            proposal.delete(key);
+        for key in self.garbage() {
+            let mut deletion = ProposedTxn::default();
+            deletion.unchanged(&self.store.replica, key.clone());
+            deletion.delete(key);
+            if !limits.append_within(&mut proposal, deletion) {
+                break;
+            }
+        }
+        if proposal.write_count() > 0 {
+            self.submit_txn(proposal, TxnPurpose::GarbageCollection);
         }
-        self.submit_txn(proposal, TxnPurpose::GarbageCollection);
     }
 
-    /// Returns up to `max_count` keys that may be deleted.
-    fn garbage(&self, max_count: usize) -> Vec<Key> {
+    /// Returns the keys that may be deleted.
+    fn garbage(&self) -> impl Iterator<Item = Key> {
         let replica = &self.store.replica;
         // The record of a deleted machine must outlast the batch that names the machine: without the record, the batch
         // would make the machine appear as registered again.
@@ -97,7 +100,5 @@
             .chain(deleted_machine_batches(replica))
             .chain(machines)
             .chain(self.store.garbage_collection.unreferenced_list_parts(replica, self.now()))
-            .take(max_count)
-            .collect()
     }
 }
--- a/src/coordination/store_sync/job_records/chunk_changes.rs
+++ b/src/coordination/store_sync/job_records/chunk_changes.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::jobs::attempt::TaskAttempt;
 use crate::coordination::store_sync::ProposedTxn;
+use crate::coordination::store_sync::txn_limits::{TxnLimits, TxnSize};
 use crate::storage::schema::{Key, Role, RunChunk, TaskAttemptRecord, to_value};
 use crate::storage::{Replica, Versioned};
 use crate::types::{JobId, MachineId};
@@ -10,14 +11,6 @@
 /// A job's run chunks in the replica, by number.
 pub(super) type StoredChunks = BTreeMap<u32, Versioned<RunChunk>>;
 
-/// Limits of one transaction.
-#[derive(Clone, Copy)]
-pub(super) struct TxnLimits {
-    pub(super) writes: usize,
-    pub(super) preconditions: usize,
-    pub(super) value_bytes: usize,
-}
-
 /// The precondition which ensures that a machine stays in its shard until an attempt on it is recorded. Otherwise a
 /// task could start on a machine of another shard, and the controller that records its attempts would never receive
 /// proof of its end. Test: `upgrade::an_attempt_recorded_late_under_a_leader_of_the_earlier_version`.
@@ -30,6 +23,15 @@
     Leadership,
 }
 
+/// What was left out of a transaction when the chunks were added to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct LeftOut {
+    /// Whether changes did not fit and have to go into another transaction.
+    pub(super) is_incomplete: bool,
+    /// Whether a chunk is too large to be written at present.
+    pub(super) has_too_large: bool,
+}
+
 /// Changes to one job's run chunks, as far as they fit into a transaction.
 pub(super) struct ChunkChanges<'a> {
     stored: &'a StoredChunks,
@@ -37,8 +39,8 @@
     limits: TxnLimits,
     guard: MachineGuard,
     chunks: BTreeMap<u32, RunChunk>,
-    /// Machines on which attempts were added.
-    machines: BTreeSet<MachineId>,
+    /// Machines on which attempts were added, by chunk.
+    machines: BTreeMap<u32, BTreeSet<MachineId>>,
     /// Whether a change did not fit and has to go into another transaction.
     is_incomplete: bool,
 }
@@ -50,7 +52,7 @@
         limits: TxnLimits,
         guard: MachineGuard,
     ) -> ChunkChanges<'a> {
-        let (chunks, machines) = (BTreeMap::new(), BTreeSet::new());
+        let (chunks, machines) = (BTreeMap::new(), BTreeMap::new());
         ChunkChanges { stored, tasks_per_chunk, limits, guard, chunks, machines, is_incomplete: false }
     }
 
@@ -71,26 +73,36 @@
         role_count + 1 + self.chunks.len()
     }
 
-    /// Returns whether the preconditions for `machine_count` machines and for `chunk` fit.
-    fn fits(&self, machine_count: usize, chunk: u32) -> bool {
+    fn machine_count(&self) -> usize {
+        self.machines.values().map(BTreeSet::len).sum()
+    }
+
+    /// Returns whether the numbers of writes and preconditions are within the limits with one more machine in `chunk`
+    /// and with the job's outcome. The sizes in bytes are known only in [`ChunkChanges::write`].
+    fn has_room(&self, chunk: u32) -> bool {
         let added_count = usize::from(!self.chunks.contains_key(&chunk));
-        let guarded_count = if self.guard == MachineGuard::Records { machine_count } else { 0 };
-        self.precondition_count() + added_count + guarded_count <= self.limits.preconditions
+        let guarded_count = if self.guard == MachineGuard::Records { self.machine_count() + 1 } else { 0 };
+        self.limits.admits(&TxnSize {
+            writes: self.chunks.len() + added_count + 1,
+            preconditions: self.precondition_count() + added_count + guarded_count,
+            ..TxnSize::default()
+        })
     }
 
     /// Returns whether a change to a task's chunk fits, together with the job's outcome and one more attempt. If not,
     /// the changes are incomplete.
     pub(super) fn admits_task(&mut self, task: u32) -> bool {
         let chunk = task / self.tasks_per_chunk;
-        let fits = self.chunks.len() + 2 <= self.limits.writes && self.fits(self.machines.len() + 1, chunk);
-        let is_admitted = self.chunks.contains_key(&chunk) || fits;
+        let is_admitted = self.chunks.contains_key(&chunk) || self.has_room(chunk);
         self.is_incomplete |= !is_admitted;
         is_admitted
     }
 
     /// Returns whether an attempt of the task on the machine fits.
     pub(super) fn admits_attempt(&self, task: u32, machine: &MachineId) -> bool {
-        self.machines.contains(machine) || self.fits(self.machines.len() + 1, task / self.tasks_per_chunk)
+        let chunk = task / self.tasks_per_chunk;
+        let is_guarded = self.machines.get(&chunk).is_some_and(|machines| machines.contains(machine));
+        is_guarded || self.has_room(chunk)
     }
 
     fn chunk_mut(&mut self, task: u32) -> &mut RunChunk {
@@ -102,7 +114,7 @@
     /// Adds an attempt under the number of its gang's attempt or the next number of its chunk. Returns the number.
     pub(super) fn add_attempt(&mut self, task: u32, attempt: &TaskAttempt, gang_attempt: Option<u64>) -> u64 {
         let machine = attempt.machine().clone();
-        self.machines.insert(machine.clone());
+        self.machines.entry(task / self.tasks_per_chunk).or_default().insert(machine.clone());
         let chunk = self.chunk_mut(task);
         let number = gang_attempt.unwrap_or(chunk.last_attempt + 1);
         chunk.last_attempt = number;
@@ -141,42 +153,69 @@
         self.resulting_chunks().any(|chunk| !chunk.task_attempts.is_empty())
     }
 
-    /// Drops the changes to chunks that are too large to be written, and returns whether there were any. A chunk can be
-    /// too large if it was written under a larger limit, or if its done tasks form more ranges than estimated. It can
-    /// be written again once enough of its attempts have ended.
-    pub(super) fn drop_too_large(&mut self) -> bool {
-        let before = self.chunks.len();
-        let max_bytes = self.limits.value_bytes;
-        self.chunks.retain(|_, chunk| serde_json::to_string(chunk).map_or(0, |text| text.len()) <= max_bytes);
-        self.chunks.len() < before
-    }
-
     /// Deletes the stored chunks, as many as fit into the transaction.
     pub(super) fn delete_all(&self, replica: &Replica, id: &JobId, proposal: &mut ProposedTxn) {
-        let writes_left = self.limits.writes - proposal.write_count();
-        for number in self.stored.keys().take(writes_left) {
-            proposal.unchanged(replica, Key::RunChunk(id.clone(), *number));
-            proposal.delete(Key::RunChunk(id.clone(), *number));
+        for number in self.stored.keys() {
+            let mut deletion = ProposedTxn::default();
+            deletion.unchanged(replica, Key::RunChunk(id.clone(), *number));
+            deletion.delete(Key::RunChunk(id.clone(), *number));
+            if !self.limits.append_within(proposal, deletion) {
+                return;
+            }
         }
     }
 
-    /// Writes the changed chunks under the preconditions of the guard.
-    pub(super) fn write(self, replica: &Replica, id: &JobId, write_id: u64, proposal: &mut ProposedTxn) {
+    /// Adds the changed chunks to a transaction, as many as fit. Drops the changes to the others: those that exceed the
+    /// transaction's limits are incomplete, and those that exceed the size limit of a value are too large. A chunk can
+    /// be too large if it was written under a larger limit, or if its done tasks form more ranges than estimated; it
+    /// can be written again once enough of its attempts have ended.
+    pub(super) fn write(
+        &mut self,
+        replica: &Replica,
+        id: &JobId,
+        write_id: u64,
+        proposal: &mut ProposedTxn,
+    ) -> LeftOut {
+        let mut has_too_large = false;
+        for (number, mut chunk) in std::mem::take(&mut self.chunks) {
+            chunk.write_id = write_id;
+            let part = self.propose_chunk(replica, id, number, &chunk);
+            let is_first = proposal.write_count() == 0;
+            let exceeds_value = part.size().largest_value_bytes > self.limits.value_bytes;
+            if self.limits.append_within(proposal, part) {
+                self.chunks.insert(number, chunk);
+            } else if is_first || exceeds_value {
+                // It would not fit into another transaction either.
+                has_too_large = true;
+            } else {
+                self.is_incomplete = true;
+            }
+        }
+        LeftOut { is_incomplete: self.is_incomplete, has_too_large }
+    }
+
+    /// Adds another part to the transaction if it fits.
+    pub(super) fn append_within_limits(&self, proposal: &mut ProposedTxn, part: ProposedTxn) -> bool {
+        self.limits.append_within(proposal, part)
+    }
+
+    /// Returns the part of a transaction that writes one chunk under the preconditions of the guard.
+    fn propose_chunk(&self, replica: &Replica, id: &JobId, number: u32, chunk: &RunChunk) -> ProposedTxn {
+        let mut part = ProposedTxn::default();
+        let machines = self.machines.get(&number).into_iter().flatten();
         match self.guard {
-            MachineGuard::Leadership if !self.machines.is_empty() => {
-                proposal.unchanged(replica, Key::Role(Role::Leader));
+            MachineGuard::Leadership if machines.clone().next().is_some() => {
+                part.unchanged(replica, Key::Role(Role::Leader));
             }
             MachineGuard::Leadership => {}
             MachineGuard::Records => {
-                for machine in self.machines {
-                    proposal.unchanged(replica, Key::Machine(machine));
+                for machine in machines {
+                    part.unchanged(replica, Key::Machine(machine.clone()));
                 }
             }
         }
-        for (number, mut chunk) in self.chunks {
-            chunk.write_id = write_id;
-            proposal.unchanged(replica, Key::RunChunk(id.clone(), number));
-            proposal.put(Key::RunChunk(id.clone(), number), to_value(&chunk));
-        }
+        part.unchanged(replica, Key::RunChunk(id.clone(), number));
+        part.put(Key::RunChunk(id.clone(), number), to_value(chunk));
+        part
     }
 }
--- a/src/coordination/store_sync/job_records/missing_record.rs
+++ b/src/coordination/store_sync/job_records/missing_record.rs
@@ -147,7 +147,8 @@
         is_budget_idle: bool,
         policy: &Policy,
     ) -> RecordStatus {
-        if job.recording.is_txn_in_flight || now < job.recording.retry_too_large_at {
+        let retry_at = job.recording.retry_too_large_at.max(job.recording.rejected_until);
+        if job.recording.is_txn_in_flight || now < retry_at {
             return RecordStatus::Waiting;
         }
         let Some(missing) = MissingRecord::of(job).filter(|_| is_own) else {
--- a/src/coordination/store_sync/job_records/mod.rs
+++ b/src/coordination/store_sync/job_records/mod.rs
@@ -11,10 +11,11 @@
 
 use crate::coordination::Controller;
 use crate::coordination::control::versions::leader_delegates_moves;
-use crate::coordination::store_sync::{PRECONDITIONS_PER_WRITE, ProposedTxn, TxnPurpose};
+use crate::coordination::store_sync::txn_limits::TxnLimits;
+use crate::coordination::store_sync::{ProposedTxn, TxnPurpose};
 use crate::storage::schema::Role;
 use crate::types::{JobId, Micros};
-use chunk_changes::{ChunkChanges, MachineGuard, TxnLimits};
+use chunk_changes::{ChunkChanges, MachineGuard};
 use job_changes::propose_changes;
 use missing_record::{MissingRecord, RecordStatus};
 use std::collections::{BTreeMap, VecDeque};
@@ -32,9 +33,7 @@
 impl RecordBatch {
     /// Returns whether another job's records fit into the same transaction.
     fn fits(&self, part: &ProposedTxn, limits: TxnLimits) -> bool {
-        let write_count = self.proposal.write_count() + part.write_count();
-        let precondition_count = self.proposal.precondition_count() + part.precondition_count();
-        self.ids.is_empty() || (write_count <= limits.writes && precondition_count <= limits.preconditions)
+        self.ids.is_empty() || limits.admits(&self.proposal.size_with(part))
     }
 
     fn add(&mut self, id: JobId, part: ProposedTxn) {
@@ -76,7 +75,7 @@
     /// Writes the records of the first job of `due`, and of about as many of the next jobs of the same shard as fit
     /// into one transaction.
     pub(super) fn send_job_records(&mut self, due: &mut VecDeque<DueRecord>) {
-        let limits = self.txn_limits();
+        let limits = self.store.txn_limits();
         // Near its limit, the store refuses large transactions more often than small ones.
         let rate = self.platform.deployment.store.write_rps;
         let target_writes = ((rate * self.policy.txn_part) as usize).clamp(MIN_TARGET_WRITES, limits.writes);
@@ -89,14 +88,15 @@
             let purpose = missing.map_or("nothing", MissingRecord::name);
             self.store.write_budget.count_writes(purpose, part.write_count());
             if part.write_count() == 0 {
-                self.job_txn_finished(&id);
+                self.job_txn_finished(&id, false);
                 continue;
             }
-            if !batch.fits(&part, limits) {
+            let is_written_alone = self.jobs.get(&id).is_some_and(|job| job.recording.is_written_alone);
+            if is_written_alone || !batch.fits(&part, limits) {
                 self.send_record_batch(std::mem::take(&mut batch));
             }
             batch.add(id, part);
-            if batch.proposal.write_count() >= target_writes {
+            if is_written_alone || batch.proposal.write_count() >= target_writes {
                 break;
             }
         }
@@ -109,10 +109,18 @@
         }
     }
 
-    fn txn_limits(&self) -> TxnLimits {
-        let limits = &self.platform.deployment.store;
-        let writes = limits.min_txn_ops();
-        TxnLimits { writes, preconditions: writes * PRECONDITIONS_PER_WRITE, value_bytes: limits.value_bytes() }
+    /// Handles a transaction with job records that the store has refused for good. Jobs that were together in it are
+    /// written alone from now on, so that none waits for another. A job that was alone waits if its records can't be
+    /// written in smaller parts.
+    pub(super) fn job_records_rejected(&mut self, ids: &[JobId], may_be_smaller: bool) {
+        let now = self.now();
+        for id in ids {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if ids.len() == 1 && !may_be_smaller {
+                job.recording.note_rejected(now);
+            }
+            job.recording.is_written_alone = true;
+        }
     }
 
     /// Returns the guard that the leader's record version requires.
@@ -134,6 +142,7 @@
         let replica = &self.store.replica;
         let Some(job) = self.jobs.get_mut(id) else { return ProposedTxn::default() };
         job.recording.is_txn_in_flight = true;
+        job.recording.is_continued = false;
         job.recording.first_unrecorded_change_at = None;
         let none = BTreeMap::new();
         let stored = replica.run_chunks.get(id).unwrap_or(&none);
@@ -143,9 +152,6 @@
             self.jobs.withdraw_attempt(id, task);
         }
         let Some(job) = self.jobs.get_mut(id) else { return ProposedTxn::default() };
-        if changes.is_incomplete() {
-            job.recording.first_unrecorded_change_at = Some(Micros::ZERO);
-        }
         propose_changes(id, job, changes, replica, write_id, now)
     }
 }
--- a/src/coordination/store_sync/mod.rs
+++ b/src/coordination/store_sync/mod.rs
@@ -13,16 +13,20 @@
 mod pending_txns;
 mod proposed_txn;
 mod reads;
+mod rejections;
+pub mod txn_limits;
 mod txn_outcomes;
 pub mod write_budget;
 
 pub(crate) use pending_txns::{MachineChange, TxnEnd, TxnPurpose};
-pub(crate) use proposed_txn::{PRECONDITIONS_PER_WRITE, ProposedTxn};
+pub(crate) use proposed_txn::ProposedTxn;
+pub(crate) use txn_limits::PRECONDITIONS_PER_WRITE;
 
 use crate::settings::{Platform, Policy};
 use crate::storage::{Replica, schema};
 use crate::types::Micros;
 use evidence::{LogicalClock, LogicalTime};
+use txn_limits::TxnLimits;
 
 /// This controller's state about the store: the replica, and pending reads and writes.
 pub(crate) struct StoreSync {
@@ -39,6 +43,8 @@
     /// Time of the store's last answer other than a refusal.
     last_answered_at: Micros,
     tasks_per_chunk: u32,
+    txn_limits: TxnLimits,
+    rejections: rejections::Rejections,
 }
 
 impl StoreSync {
@@ -61,6 +67,8 @@
             last_ticket: 0,
             last_answered_at: Micros::ZERO,
             tasks_per_chunk: schema::chunk_tasks(limits.value_kb),
+            txn_limits: TxnLimits::of(limits),
+            rejections: rejections::Rejections::default(),
         }
     }
 
@@ -110,6 +118,11 @@
         self.tasks_per_chunk
     }
 
+    /// Returns the limits of one transaction.
+    pub(crate) fn txn_limits(&self) -> TxnLimits {
+        self.txn_limits
+    }
+
     /// Returns whether there is little else to write, on this controller and on its siblings.
     pub(crate) fn has_spare_write_budget(&mut self, now: Micros) -> bool {
         self.write_budget.is_idle(now)
--- a/src/coordination/store_sync/pending_txns.rs
+++ b/src/coordination/store_sync/pending_txns.rs
@@ -2,6 +2,8 @@
 
 use crate::coordination::api::submissions::SubmittedJob;
 use crate::coordination::store_sync::evidence::{Evidence, LogicalTime};
+use crate::coordination::store_sync::proposed_txn::ProposedTxn;
+use crate::coordination::store_sync::txn_limits::TxnSize;
 use crate::protocol::store::Txn;
 use crate::types::{JobId, MachineId, Micros, Revision};
 use std::collections::BTreeMap;
@@ -91,11 +93,14 @@
     RetryAt(Micros),
     /// A precondition did not hold at this revision; waits for the replica to reach it.
     AwaitingReplica(Revision),
+    /// Not sent, because the store would refuse it for good; ends at this time.
+    Withheld { until: Micros },
 }
 
 /// A transaction that has not ended.
 pub(super) struct PendingTxn {
     pub(super) txn: Txn,
+    pub(super) size: TxnSize,
     pub(super) purpose: TxnPurpose,
     pub(super) stage: TxnStage,
     pub(super) attempt_count: u32,
@@ -104,8 +109,10 @@
 }
 
 impl PendingTxn {
-    pub(super) fn new(txn: Txn, purpose: TxnPurpose, stage: TxnStage) -> PendingTxn {
-        PendingTxn { txn, purpose, stage, attempt_count: 0, sent_at: LogicalTime::default() }
+    pub(super) fn new(proposal: ProposedTxn, purpose: TxnPurpose, stage: TxnStage) -> PendingTxn {
+        let size = proposal.size();
+        let txn = proposal.into_txn();
+        PendingTxn { txn, size, purpose, stage, attempt_count: 0, sent_at: LogicalTime::default() }
     }
 
     fn is_retry_due(&self, now: Micros) -> bool {
@@ -116,7 +123,7 @@
     fn reached_conflict(&self, applied: Revision) -> Option<Revision> {
         match self.stage {
             TxnStage::AwaitingReplica(revision) => (revision <= applied).then_some(revision),
-            TxnStage::Queued { .. } | TxnStage::InFlight | TxnStage::RetryAt(_) => None,
+            TxnStage::Queued { .. } | TxnStage::InFlight | TxnStage::RetryAt(_) | TxnStage::Withheld { .. } => None,
         }
     }
 }
@@ -129,6 +136,12 @@
     Refused(Evidence),
     /// It may or may not have been committed.
     Unknown,
+    /// The store refuses it for good. `may_be_smaller` says whether the limits were reduced, so that the same change can
+    /// be proposed in smaller parts.
+    Rejected {
+        /// Whether the limits were reduced.
+        may_be_smaller: bool,
+    },
 }
 
 impl TxnEnd {
@@ -141,7 +154,7 @@
     pub(crate) fn evidence(&self) -> Option<&Evidence> {
         match self {
             TxnEnd::Committed(evidence) | TxnEnd::Refused(evidence) => Some(evidence),
-            TxnEnd::Unknown => None,
+            TxnEnd::Unknown | TxnEnd::Rejected { .. } => None,
         }
     }
 }
@@ -157,6 +170,10 @@
         self.by_ticket.insert(ticket, pending);
     }
 
+    pub(super) fn get(&self, ticket: u64) -> Option<&PendingTxn> {
+        self.by_ticket.get(&ticket)
+    }
+
     pub(super) fn get_mut(&mut self, ticket: u64) -> Option<&mut PendingTxn> {
         self.by_ticket.get_mut(&ticket)
     }
@@ -173,7 +190,9 @@
     pub(super) fn first_queued(&self) -> Option<(Micros, u64)> {
         let queued = self.by_ticket.iter().filter_map(|(ticket, pending)| match pending.stage {
             TxnStage::Queued { send_by } => Some((send_by, *ticket)),
-            TxnStage::InFlight | TxnStage::RetryAt(_) | TxnStage::AwaitingReplica(_) => None,
+            TxnStage::InFlight | TxnStage::RetryAt(_) | TxnStage::AwaitingReplica(_) | TxnStage::Withheld { .. } => {
+                None
+            }
         });
         queued.min()
     }
@@ -183,6 +202,12 @@
         self.by_ticket.values().any(|pending| matches!(pending.stage, TxnStage::AwaitingReplica(_)))
     }
 
+    /// Returns the tickets of the transactions that are withheld no longer than `now`.
+    pub(super) fn withheld_until(&self, now: Micros) -> Vec<u64> {
+        let is_over = |pending: &PendingTxn| matches!(pending.stage, TxnStage::Withheld { until } if until <= now);
+        self.by_ticket.iter().filter(|(_, pending)| is_over(pending)).map(|(ticket, _)| *ticket).collect()
+    }
+
     pub(super) fn due_for_retry(&self, now: Micros) -> Vec<u64> {
         let due = self.by_ticket.iter().filter(|(_, pending)| pending.is_retry_due(now));
         due.map(|(ticket, _)| *ticket).collect()
--- a/src/coordination/store_sync/proposed_txn.rs
+++ b/src/coordination/store_sync/proposed_txn.rs
@@ -1,42 +1,61 @@
 //! Construction of transactions: compare-and-swap on the versions in the replica.
 
+use crate::coordination::store_sync::txn_limits::TxnSize;
 use crate::protocol::store::{Precondition, Txn, Write};
 use crate::storage::Replica;
 use crate::storage::schema::Key;
 use ciborium::Value;
 
-/// Maximum number of preconditions of a transaction, for each write that the store allows in it.
-pub(crate) const PRECONDITIONS_PER_WRITE: usize = 4;
-
 /// A transaction under construction, whose preconditions name the versions in the replica.
 #[derive(Default)]
 pub(crate) struct ProposedTxn {
     txn: Txn,
+    preconditions_size: TxnSize,
+    writes_size: TxnSize,
 }
 
 impl ProposedTxn {
     /// Adds the precondition that the key still has the version in the replica.
     pub(crate) fn unchanged(&mut self, replica: &Replica, key: Key) {
         let version = replica.version(&key);
-        let key = key.to_string();
-        if !self.txn.preconditions.iter().any(|precondition| precondition.key == key) {
-            self.txn.preconditions.push(Precondition { key, version });
+        self.require(Precondition { key: key.to_string(), version });
+    }
+
+    fn require(&mut self, precondition: Precondition) {
+        if !self.txn.preconditions.contains(&precondition) {
+            self.preconditions_size = self.preconditions_size.plus(TxnSize::of_precondition(&precondition));
+            self.txn.preconditions.push(precondition);
         }
     }
 
+    fn write(&mut self, write: Write) {
+        self.writes_size = self.writes_size.plus(TxnSize::of_write(&write));
+        self.txn.writes.push(write);
+    }
+
     /// Writes a key.
     pub(crate) fn put(&mut self, key: Key, value: Value) {
-        self.txn.writes.push(Write::Put { key: key.to_string(), value, lease: None });
+        self.write(Write::Put { key: key.to_string(), value, lease: None });
     }
 
     /// Writes a key that the store deletes when the lease expires.
     pub(crate) fn put_bound(&mut self, key: Key, value: Value, lease: u64) {
-        self.txn.writes.push(Write::Put { key: key.to_string(), value, lease: Some(lease) });
+        self.write(Write::Put { key: key.to_string(), value, lease: Some(lease) });
     }
 
     /// Deletes a key.
     pub(crate) fn delete(&mut self, key: Key) {
-        self.txn.writes.push(Write::Delete { key: key.to_string() });
+        self.write(Write::Delete { key: key.to_string() });
+    }
+
+    /// Returns its size.
+    pub(crate) fn size(&self) -> TxnSize {
+        self.preconditions_size.plus(self.writes_size)
+    }
+
+    /// Returns an upper bound of the size of this and another transaction together.
+    pub(crate) fn size_with(&self, other: &ProposedTxn) -> TxnSize {
+        self.size().plus(other.size())
     }
 
     /// Returns the number of writes.
@@ -44,18 +63,12 @@
         self.txn.writes.len()
     }
 
-    /// Returns the number of preconditions.
-    pub(crate) fn precondition_count(&self) -> usize {
-        self.txn.preconditions.len()
-    }
-
     /// Adds the writes of another transaction, and those of its preconditions that this one doesn't have yet.
-    pub(super) fn append(&mut self, other: ProposedTxn) {
+    pub(crate) fn append(&mut self, other: ProposedTxn) {
         for precondition in other.txn.preconditions {
-            if !self.txn.preconditions.contains(&precondition) {
-                self.txn.preconditions.push(precondition);
-            }
+            self.require(precondition);
         }
+        self.writes_size = self.writes_size.plus(other.writes_size);
         self.txn.writes.extend(other.txn.writes);
     }
 
--- a/src/coordination/store_sync/txn_outcomes.rs
+++ b/src/coordination/store_sync/txn_outcomes.rs
@@ -36,11 +36,7 @@
                 self.session_expired();
                 self.txn_ended(&pending.purpose, &TxnEnd::Unknown);
             }
-            TxnOutcome::Invalid => {
-                let Some(pending) = self.store.txns.remove(ticket) else { return };
-                tracing::error!(purpose = ?pending.purpose, "transaction rejected by the store as malformed");
-                self.txn_ended(&pending.purpose, &TxnEnd::Unknown);
-            }
+            TxnOutcome::Invalid => self.txn_rejected(ticket),
             TxnOutcome::RateLimited => self.txn_limited(ticket),
             TxnOutcome::Failed(failure) => self.txn_failed(ticket, failure),
         }
@@ -109,6 +105,7 @@
                 | TxnPurpose::CascadedCancellations => pending.stage = TxnStage::Queued { send_by: now },
             }
         }
+        self.end_withheld_txns();
         self.reject_overdue_submissions();
         if self.store.txns.is_any_awaiting_replica() {
             self.store.request_fresh_read();
@@ -152,15 +149,15 @@
     }
 
     /// Notifies the component that proposed a transaction of its end.
-    fn txn_ended(&mut self, purpose: &TxnPurpose, end: &TxnEnd) {
+    pub(super) fn txn_ended(&mut self, purpose: &TxnPurpose, end: &TxnEnd) {
         match purpose {
-            TxnPurpose::Submit(jobs) => jobs.iter().for_each(|job| self.submission_txn_finished(job, end)),
+            TxnPurpose::Submit(jobs) => self.submission_batch_finished(jobs, end),
             TxnPurpose::DependencyListParts(name) => self.dependency_list_parts_txn_finished(name, end.is_committed()),
             TxnPurpose::Cancel(id) => self.cancellation_txn_finished(id),
             TxnPurpose::ControllerRecord => self.own_record_txn_ended(end.is_committed()),
             TxnPurpose::Role => self.role_txn_ended(end.is_committed()),
             TxnPurpose::Machines(_, ids) => self.machine_txn_finished(ids),
-            TxnPurpose::Jobs(ids) => ids.iter().for_each(|id| self.job_txn_finished(id)),
+            TxnPurpose::Jobs(ids) => ids.iter().for_each(|id| self.job_txn_finished(id, end.is_committed())),
             TxnPurpose::ZoneView(name) => self.zone_view_txn_finished(name),
             TxnPurpose::GarbageCollection | TxnPurpose::CascadedCancellations => {}
         }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -54,6 +54,28 @@
     body
 }
 
+/// Counts the bytes written to it.
+struct ByteCounter(usize);
+
+impl io::Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns the size of a message in JSON, the form in which the protocol counts sizes.
+pub fn json_size<T: Serialize + ?Sized>(value: &T) -> usize {
+    let mut counter = ByteCounter(0);
+    // The counter accepts everything, and all message types have text keys.
+    let _ = serde_json::to_writer(&mut counter, value);
+    counter.0
+}
+
 struct NumberVisitor;
 
 impl Visitor<'_> for NumberVisitor {
--- a/src/settings/platform/limits.rs
+++ b/src/settings/platform/limits.rs
@@ -2,8 +2,11 @@
 
 use serde::Deserialize;
 
-/// Fraction of the allowed size up to which a value is filled.
-const VALUE_FILL_RATIO: f64 = 0.97;
+/// Fraction of the allowed size up to which values and transactions are filled.
+const FILL_RATIO: f64 = 0.97;
+/// Maximum size of a transaction in KiB, which is the same in all deployments.
+const TXN_KB: f64 = 64.0;
+const BYTES_PER_KB: f64 = 1024.0;
 
 /// Limits of the store.
 #[derive(Clone, Debug, Deserialize)]
@@ -73,7 +76,12 @@
 
     /// Returns the size in bytes up to which values are filled, which is a little less than allowed.
     pub fn value_bytes(&self) -> usize {
-        (self.min_value_kb() * 1024.0 * VALUE_FILL_RATIO) as usize
+        (self.min_value_kb() * BYTES_PER_KB * FILL_RATIO) as usize
+    }
+
+    /// Returns the size in bytes up to which transactions are filled, which is a little less than allowed.
+    pub fn txn_bytes(&self) -> usize {
+        (TXN_KB * BYTES_PER_KB * FILL_RATIO) as usize
     }
 
     /// Returns the requests per second that both the current and the upcoming limits allow.
--- a/src/transport/calls/store.rs
+++ b/src/transport/calls/store.rs
@@ -138,7 +138,11 @@
         StatusCode::TOO_MANY_REQUESTS => TxnOutcome::RateLimited,
         StatusCode::SERVICE_UNAVAILABLE => TxnOutcome::Failed(CallFailure::NotExecuted),
         StatusCode::BAD_REQUEST if response.body_contains(store::NO_SUCH_LEASE) => TxnOutcome::SessionExpired,
-        StatusCode::BAD_REQUEST => TxnOutcome::Invalid,
+        StatusCode::BAD_REQUEST => {
+            let answer = decode_or_log::<ciborium::Value>(response);
+            tracing::error!(?answer, "store refused a transaction for good");
+            TxnOutcome::Invalid
+        }
         _ => TxnOutcome::Failed(CallFailure::Indeterminate),
     }
 }
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -5,9 +5,10 @@
 use burlhatch::coordination::jobs::job_attempts::JobAttempts;
 use burlhatch::coordination::jobs::usage::Usage;
 use burlhatch::coordination::scheduling::placement::{PlacementCandidate, choose_candidate};
+use burlhatch::coordination::store_sync::txn_limits::TxnSize;
 use burlhatch::coordination::store_sync::write_budget::WriteBudget;
 use burlhatch::protocol::agent::ExitCause;
-use burlhatch::protocol::store::Event;
+use burlhatch::protocol::store::{Event, Precondition, Txn, Write};
 use burlhatch::protocol::user::{JobKind, JobSpec, Priority};
 use burlhatch::storage::Replica;
 use burlhatch::storage::schema::{Key, Outcome, RunChunk, TaskAttemptRecord, to_value};
@@ -465,3 +466,35 @@
         }
     }
 }
+
+fn any_txn() -> impl Strategy<Value = Txn> {
+    let key = "[a-z0-9/\"é]{1,40}";
+    let value = prop_oneof![
+        any::<i32>().prop_map(ciborium::Value::from),
+        "[ -~é]{0,60}".prop_map(ciborium::Value::from),
+        prop::collection::vec(any::<f64>().prop_filter("finite", |n| n.is_finite()), 0..8)
+            .prop_map(|numbers| ciborium::Value::Array(numbers.into_iter().map(ciborium::Value::from).collect())),
+    ];
+    let put =
+        (key, value, prop::option::of(any::<u64>())).prop_map(|(key, value, lease)| Write::Put { key, value, lease });
+    let write = prop_oneof![put, key.prop_map(|key| Write::Delete { key })];
+    let precondition = (key, any::<u64>()).prop_map(|(key, version)| Precondition { key, version });
+    let preconditions = prop::collection::vec(precondition, 0..10);
+    (preconditions, prop::collection::vec(write, 0..10))
+        .prop_map(|(preconditions, writes)| Txn { preconditions, writes })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), ..ProptestConfig::with_cases(500) })]
+
+    /// The counted size of a transaction is its size in JSON, with one more separator in each of the two lists.
+    #[test]
+    fn the_size_of_a_transaction_is_that_of_its_json_form(txn in any_txn()) {
+        let size = TxnSize::of(&txn);
+        let json = serde_json::to_string(&txn).expect("plain data").len();
+        let separators = usize::from(!txn.preconditions.is_empty()) + usize::from(!txn.writes.is_empty());
+        prop_assert_eq!(size.bytes + r#"{"if":[],"writes":[]}"#.len(), json + separators);
+        prop_assert_eq!(size.writes, txn.writes.len());
+        prop_assert_eq!(size.preconditions, txn.preconditions.len());
+    }
+}
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -234,4 +234,21 @@
             value / 1024
         );
     }
+
+    /// Lowers the store's limits of size from now on below those that the settings state.
+    pub fn lower_limits_unannounced(&mut self, sizes: SizeLimits) {
+        self.store.lowered_limits = Some(LoweredLimits { at: self.now, sizes, write_rps: self.size.write_rps });
+        self.store.expects_refusals = true;
+    }
+
+    /// Makes the store refuse for good each transaction that writes a key containing this text.
+    pub fn refuse_keys_for_good(&mut self, text: &str) {
+        self.store.refused_key_part = Some(text.into());
+        self.store.expects_refusals = true;
+    }
+
+    /// Returns the number of transactions that the store has refused for good.
+    pub fn refused_txn_count(&self) -> u64 {
+        self.store.refused_count
+    }
 }
--- a/tests/rules/world/store.rs
+++ b/tests/rules/world/store.rs
@@ -144,10 +144,12 @@
     pub request_count: u64,
     stated_sizes: SizeLimits,
     pub lowered_limits: Option<LoweredLimits>,
-    /// Whether transactions above the limits of size are part of the test; otherwise each is a violation.
-    pub expects_oversized_txns: bool,
-    /// Transactions refused for good because of their size.
-    pub oversized_count: u64,
+    /// Whether transactions that are refused for good are part of the test; otherwise each is a violation.
+    pub expects_refusals: bool,
+    /// Text of the keys whose writes are refused for good.
+    pub refused_key_part: Option<String>,
+    /// Transactions refused for good.
+    pub refused_count: u64,
 }
 
 /// Returns the input for a controller whose request failed without an answer.
@@ -183,8 +185,9 @@
             request_count: 0,
             stated_sizes,
             lowered_limits: None,
-            expects_oversized_txns: false,
-            oversized_count: 0,
+            expects_refusals: false,
+            refused_key_part: None,
+            refused_count: 0,
         }
     }
 
@@ -284,9 +287,14 @@
         lowered.map_or(self.stated_sizes, |lowered| lowered.sizes)
     }
 
+    fn writes_refused_key(&self, txn: &Txn) -> bool {
+        let Some(part) = &self.refused_key_part else { return false };
+        txn.writes.iter().any(|write| matches!(write, Write::Put { key, .. } if key.contains(part)))
+    }
+
     fn txn(&mut self, txn: &Txn) -> TxnOutcome {
-        if self.sizes().reason_to_refuse(txn).is_some() {
-            self.oversized_count += 1;
+        if self.sizes().reason_to_refuse(txn).is_some() || self.writes_refused_key(txn) {
+            self.refused_count += 1;
             return TxnOutcome::Invalid;
         }
         let lost = txn
@@ -396,7 +404,7 @@
             }
         }
         if let (StoreCall::Txn { txn, .. }, Input::Txn { outcome: TxnOutcome::Invalid, .. }) = (&request, &input)
-            && !self.store.expects_oversized_txns
+            && !self.store.expects_refusals
         {
             let reason = self.store.sizes().reason_to_refuse(txn);
             self.report_violation(format!("the store refuses a transaction for good: {reason:?}"));
