Test of the limits that the testbed's store enforces

Cause: the stand-in refuses transactions by size now, and nothing showed that it refuses what the protocol does, and no more. Change: one transaction at each limit, and one just above it.

--- a/crates/testbed/tests/checks.rs
+++ b/crates/testbed/tests/checks.rs
@@ -1,8 +1,10 @@
 //! Checks of the history checker, of drawn fault plans and of reports.
 
+use burlhatch::protocol::store::{Precondition, Txn, Write};
 use burlhatch_testbed::faults::{PlannedFault, draw_plan};
 use burlhatch_testbed::history::{CancellationSummary, Event, TimedEvent, summarize_cancellations, violations};
 use burlhatch_testbed::report::{ReportError, Sample, distributions, html, read_samples};
+use burlhatch_testbed::store::StoreSizeLimits;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -134,3 +136,37 @@
     assert!(error.starts_with("line 2:"), "{error}");
     assert!(matches!(html("empty", &[]), Err(ReportError::Empty)));
 }
+
+fn put(key: &str, value_bytes: usize) -> Write {
+    Write::Put { key: key.into(), value: "x".repeat(value_bytes).into(), lease: None }
+}
+
+/// The stand-in of the store refuses each transaction that exceeds one of the protocol's limits, and no other.
+#[test]
+fn the_store_refuses_transactions_above_each_limit() {
+    let limits = StoreSizeLimits { value_kb: 8, txn_ops: 12 };
+    let txn = |preconditions: usize, writes: Vec<Write>| Txn {
+        preconditions: (0..preconditions).map(|n| Precondition { key: format!("k/{n}"), version: 1 }).collect(),
+        writes,
+    };
+    let accepted = [
+        txn(48, vec![put("a", 10); 12]),
+        txn(0, vec![put("a", 8 * 1024 - 2)]),
+        txn(0, vec![put(&"k".repeat(200), 7900); 8]),
+    ];
+    for txn in accepted {
+        assert_eq!(limits.reason_to_refuse(&txn), None);
+    }
+    let refused = [
+        ("preconditions", txn(49, vec![put("a", 10)])),
+        ("writes", txn(0, vec![put("a", 10); 13])),
+        ("value of", txn(0, vec![put("a", 8 * 1024 - 1)])),
+        ("transaction of", txn(0, vec![put("a", 8000); 9])),
+        ("invalid key", txn(0, vec![put(&"k".repeat(201), 10)])),
+        ("invalid key", txn(0, vec![Write::Delete { key: "a b".into() }])),
+    ];
+    for (reason, txn) in refused {
+        let found = limits.reason_to_refuse(&txn);
+        assert!(found.as_ref().is_some_and(|found| found.contains(reason)), "{reason}: {found:?}");
+    }
+}
