A machine that can't be stored is refused alone

What callers saw: machines that report together with one whose id can't be part of a key (a space, or more than 200 bytes) were not registered: each round sent the same transaction, which the store refuses for good. Cause: registrations were bounded by the size of the value and the number of preconditions only. A record above the value's size ended the batch before its other machines. Change: the batch asks txn_limits; a machine that exceeds a limit by itself gets 503 and a log line, the others go on. A new record takes half a value at most, so that later changes of it fit.

--- a/src/coordination/api/batches.rs
+++ b/src/coordination/api/batches.rs
@@ -9,12 +9,14 @@
 use crate::types::{JobId, Micros};
 
 /// Fraction of the maximum value size up to which a value with several entries is filled.
-pub(crate) const VALUE_FILL_RATIO: f64 = 0.9;
+const VALUE_FILL_RATIO: f64 = 0.9;
 
 /// Bytes that a list entry takes besides the job id: quotes and a comma.
 const LIST_ENTRY_OVERHEAD_BYTES: usize = 3;
 /// Bytes that a list takes besides its entries: brackets.
-const LIST_OVERHEAD_BYTES: usize = 2;
+pub(crate) const LIST_OVERHEAD_BYTES: usize = 2;
+/// Bytes between two entries of a list: a comma.
+pub(crate) const LIST_SEPARATOR_BYTES: usize = 1;
 
 /// Splits a dependency list into lists that each fit into a value of `max_bytes`.
 fn split_dependency_list(dependencies: Vec<JobId>, max_bytes: usize) -> Vec<Vec<JobId>> {
--- a/src/coordination/fleet/registration.rs
+++ b/src/coordination/fleet/registration.rs
@@ -1,13 +1,15 @@
 //! Registration of machines that send heartbeats and have no record, as they have just started or come back.
 
-use crate::coordination::api::batches::VALUE_FILL_RATIO;
+use crate::coordination::api::batches::{LIST_OVERHEAD_BYTES, LIST_SEPARATOR_BYTES};
 use crate::coordination::autoscaling::bin_packing::MachineCapacity;
 use crate::coordination::autoscaling::machine_types::InstanceOffer;
 use crate::coordination::fleet::machine::Machine;
-use crate::coordination::store_sync::{MachineChange, PRECONDITIONS_PER_WRITE, ProposedTxn, TxnPurpose};
+use crate::coordination::store_sync::txn_limits::{TxnLimit, TxnLimits, TxnSize};
+use crate::coordination::store_sync::{MachineChange, ProposedTxn, TxnPurpose};
 use crate::coordination::{AgentAnswer, Controller, Effect};
 use crate::protocol::agent::Heartbeat;
-use crate::settings::StoreLimits;
+use crate::protocol::json_size;
+use crate::storage::Replica;
 use crate::storage::schema::{Key, MachineBatchMember, MachineRecord, Role, to_value};
 use crate::types::{FencingToken, MachineId, Micros};
 
@@ -15,6 +17,8 @@
 const ANSWER_VALIDITY: Micros = Micros::from_millis(5000);
 /// CPUs assumed for a machine whose type is not known, in millionths.
 const CPUS_OF_UNKNOWN_TYPE: u64 = 1_000_000;
+/// Part of a value's maximum size that a new machine's record may take, so that later changes fit as well.
+const MAX_RECORD_PART_OF_VALUE: usize = 2;
 
 /// Status of a machine that sends heartbeats.
 enum RegistrationStatus {
@@ -28,38 +32,63 @@
     Alive,
 }
 
+/// The machine's record can't be stored, because a field is too long or the machine's id is not valid in a key.
+#[derive(Debug, thiserror::Error)]
+#[error("the machine's record can't be stored: {0:?}")]
+struct UnstorableMachine(TxnLimit);
+
 /// Machines that one transaction registers, as many as its limits allow.
 struct RegistrationBatch {
+    name: Key,
     members: Vec<MachineBatchMember>,
-    bytes: usize,
-    max_bytes: usize,
-    max_members: usize,
+    proposal: ProposedTxn,
+    value_bytes: usize,
+    limits: TxnLimits,
 }
 
 impl RegistrationBatch {
-    fn new(limits: &StoreLimits) -> RegistrationBatch {
-        RegistrationBatch {
-            members: Vec::new(),
-            bytes: 0,
-            max_bytes: (limits.min_value_kb() * 1024.0 * VALUE_FILL_RATIO) as usize,
-            // Two preconditions are for the role and the batch's own record.
-            max_members: limits.min_txn_ops() * PRECONDITIONS_PER_WRITE - 2,
-        }
+    /// Creates an empty batch with this name, under the precondition that this controller is the leader.
+    fn new(name: String, replica: &Replica, limits: TxnLimits) -> RegistrationBatch {
+        let name = Key::MachineBatch(name);
+        let mut proposal = ProposedTxn::default();
+        proposal.unchanged(replica, Key::Role(Role::Leader));
+        proposal.unchanged(replica, name.clone());
+        RegistrationBatch { name, members: Vec::new(), proposal, value_bytes: LIST_OVERHEAD_BYTES, limits }
     }
 
     fn contains(&self, id: &MachineId) -> bool {
         self.members.iter().any(|member| member.id == *id)
     }
 
-    /// Adds a machine. Returns false if that would exceed the limits.
-    fn add(&mut self, member: MachineBatchMember) -> bool {
-        let added_bytes = serde_json::to_string(&member).map_or(self.max_bytes, |text| text.len() + 1);
-        if self.bytes + added_bytes > self.max_bytes || self.members.len() == self.max_members {
-            return false;
+    /// Adds a machine. Returns false if the batch is full.
+    fn add(&mut self, member: MachineBatchMember, replica: &Replica) -> Result<bool, UnstorableMachine> {
+        let record_bytes = json_size(&member);
+        if record_bytes > self.limits.value_bytes / MAX_RECORD_PART_OF_VALUE {
+            return Err(UnstorableMachine(TxnLimit::ValueBytes));
+        }
+        let mut precondition = ProposedTxn::default();
+        precondition.unchanged(replica, Key::Machine(member.id.clone()));
+        let value_bytes = self.value_bytes + record_bytes + LIST_SEPARATOR_BYTES;
+        let size = self.proposal.size_with(&precondition).plus(TxnSize::of_value(&self.name.to_string(), value_bytes));
+        match self.limits.exceeded_by(&size) {
+            Some(limit) if self.members.is_empty() || limit == TxnLimit::Key => Err(UnstorableMachine(limit)),
+            Some(_) => Ok(false),
+            None => {
+                self.proposal.append(precondition);
+                self.value_bytes = value_bytes;
+                self.members.push(member);
+                Ok(true)
+            }
+        }
+    }
+
+    /// Returns the transaction, which writes all machines in one value unless there is only one machine.
+    fn into_proposal(mut self) -> ProposedTxn {
+        match &self.members[..] {
+            [single] => self.proposal.put(Key::Machine(single.id.clone()), to_value(&single.record)),
+            members => self.proposal.put(self.name, to_value(&members)),
         }
-        self.bytes += added_bytes;
-        self.members.push(member);
-        true
+        self.proposal
     }
 }
 
@@ -68,9 +97,13 @@
     pub(crate) fn register_machines(&mut self) {
         let heartbeats: Vec<Heartbeat> =
             self.fleet.unregistered.iter().map(|unregistered| unregistered.heartbeat.clone()).collect();
+        if heartbeats.is_empty() {
+            return;
+        }
         let now = self.now();
         self.fleet.unregistered_alive_at.retain(|_, at| now.since(*at) < ANSWER_VALIDITY);
-        let mut batch = RegistrationBatch::new(&self.platform.deployment.store);
+        let name = format!("{:x}", self.nonce());
+        let mut batch = RegistrationBatch::new(name, &self.store.replica, self.store.txn_limits());
         let mut refused = Vec::new();
         for heartbeat in heartbeats {
             let id = &heartbeat.machine;
@@ -83,14 +116,19 @@
                 RegistrationStatus::Unproven => self.probe_unregistered(id, heartbeat.addr.as_deref()),
                 RegistrationStatus::Alive => {
                     let member = self.new_member(&heartbeat, &batch.members);
-                    if !batch.add(member) {
-                        break;
+                    match batch.add(member, &self.store.replica) {
+                        Ok(true) => {}
+                        Ok(false) => break,
+                        Err(error) => {
+                            tracing::warn!(machine = %id, %error, "machine refused");
+                            refused.push(id.clone());
+                        }
                     }
                 }
             }
         }
         if !batch.members.is_empty() {
-            self.record_registrations(batch.members);
+            self.record_registrations(batch);
         }
         self.refuse_heartbeats_of(&refused);
     }
@@ -136,26 +174,15 @@
         });
     }
 
-    /// Writes the records of new machines, all in one value unless there is only one machine.
-    fn record_registrations(&mut self, members: Vec<MachineBatchMember>) {
+    /// Writes the records of new machines.
+    fn record_registrations(&mut self, batch: RegistrationBatch) {
         let now = self.now();
-        let mut proposal = ProposedTxn::default();
-        proposal.unchanged(&self.store.replica, Key::Role(Role::Leader));
-        let ids: Vec<MachineId> = members.iter().map(|m| m.id.clone()).collect();
+        let ids: Vec<MachineId> = batch.members.iter().map(|m| m.id.clone()).collect();
         for id in &ids {
             self.fleet.machine_or_insert(id).registration_started();
             self.autoscaling.instance_came_up(id, now);
-            proposal.unchanged(&self.store.replica, Key::Machine(id.clone()));
-        }
-        match &members[..] {
-            [single] => proposal.put(Key::Machine(single.id.clone()), to_value(&single.record)),
-            _ => {
-                let name = Key::MachineBatch(format!("{:x}", self.nonce()));
-                proposal.unchanged(&self.store.replica, name.clone());
-                proposal.put(name, to_value(&members));
-            }
         }
-        self.submit_txn(proposal, TxnPurpose::Machines(MachineChange::Register, ids));
+        self.submit_txn(batch.into_proposal(), TxnPurpose::Machines(MachineChange::Register, ids));
     }
 
     /// Returns the shard with the most urgent tasks that the machine can take, or else the one with the fewest CPUs for
--- a/tests/rules/store_limits.rs
+++ b/tests/rules/store_limits.rs
@@ -120,6 +120,24 @@
     }
 }
 
+/// Guards against a machine whose record the store refuses for good: all machines that were to be registered together with
+/// it were refused again and again.
+#[test]
+fn a_machine_that_cannot_be_stored_keeps_no_other_waiting() {
+    for (seed, deployment) in (135_000..).zip(DEPLOYMENTS) {
+        let mut world = world(seed, deployment);
+        let unstorable = ["m 999001".to_string(), format!("m-{}", "9".repeat(300))];
+        for id in &unstorable {
+            world.start_stray_agent(id, "10.1.0.1:9000");
+        }
+        world.start_stray_agent("m-999002", &"1".repeat(200_000));
+        let job = world.submit(1, small_tasks(JobKind::Array, 80, 300.0));
+        assert_started(&mut world, &[job], 80, &format!("{deployment:?}"));
+        world.run_for(20 * S);
+        assert_eq!(world.stored_machines().len(), MACHINES, "{deployment:?}");
+    }
+}
+
 /// Guards against transactions that are sent again unchanged though the store refuses them for good: its limits are lower
 /// than the settings state, and each refusal has to make the next transactions smaller.
 #[test]
--- a/tests/rules/world/agent.rs
+++ b/tests/rules/world/agent.rs
@@ -23,6 +23,8 @@
 }
 
 pub struct Agent {
+    /// Address that it reports.
+    pub(super) addr: String,
     pub(super) machine_type: String,
     pub zone: String,
     pub spot: bool,
@@ -73,7 +75,7 @@
         let tasks = running.chain(exited).collect();
         Heartbeat {
             machine: id.clone(),
-            addr: Some("10.1.0.1:9000".into()),
+            addr: Some(self.addr.clone()),
             machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
@@ -105,6 +107,7 @@
 impl World {
     pub(super) fn start_agent(&mut self, id: MachineId, machine_type: String, zone: String, spot: bool) {
         let agent = Agent {
+            addr: "10.1.0.1:9000".into(),
             machine_type,
             zone,
             spot,
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -241,6 +241,15 @@
         self.store.expects_refusals = true;
     }
 
+    /// Starts an agent on a machine that the cloud does not know.
+    pub fn start_stray_agent(&mut self, id: &str, addr: &str) {
+        let id = MachineId::new(id);
+        self.start_agent(id.clone(), "small".into(), self.size.zones[0].into(), false);
+        if let Some(agent) = self.agents.get_mut(&id) {
+            agent.addr = addr.into();
+        }
+    }
+
     /// Makes the store refuse for good each transaction that writes a key containing this text.
     pub fn refuse_keys_for_good(&mut self, text: &str) {
         self.store.refused_key_part = Some(text.into());
