Parts of a long dependency list stay within 64 KiB a transaction

What callers saw: a job that awaits about 5400 others, as many as 64 KiB of a submission hold, was refused with each retry and never accepted, where a transaction takes nine or more values of 8 KiB. Cause: parts were combined by their number only, as many as writes are allowed. Change: parts are packed under all limits, as are submissions in a batch, which no longer keeps a limit of its own beside the common one. Evidence: parts_of_a_long_dependency_list_exceed_64_kib fails before (65656 bytes, refused with each retry), passes after.

--- a/src/coordination/api/batches.rs
+++ b/src/coordination/api/batches.rs
@@ -3,14 +3,13 @@
 
 use crate::coordination::api::UNAVAILABLE;
 use crate::coordination::api::submissions::{DependencyListInProgress, QueuedSubmission, SubmittedJob};
-use crate::coordination::store_sync::{PRECONDITIONS_PER_WRITE, ProposedTxn, TxnPurpose};
+use crate::coordination::store_sync::txn_limits::TxnSize;
+use crate::coordination::store_sync::{ProposedTxn, TxnPurpose};
 use crate::coordination::{Controller, UserAnswer};
+use crate::protocol::json_size;
 use crate::storage::schema::{DependencyListParts, JobBatchMember, Key, to_value};
 use crate::types::{JobId, Micros};
 
-/// Fraction of the maximum value size up to which a value with several entries is filled.
-const VALUE_FILL_RATIO: f64 = 0.9;
-
 /// Bytes that a list entry takes besides the job id: quotes and a comma.
 const LIST_ENTRY_OVERHEAD_BYTES: usize = 3;
 /// Bytes that a list takes besides its entries: brackets.
@@ -45,27 +44,31 @@
     /// Writes a dependency list that is too long for one value to keys of its own, under a unique name. The job's entry
     /// in the batch refers to the list by that name.
     pub(super) fn write_dependency_list_parts(&mut self, mut member: JobBatchMember) {
-        let limits = &self.platform.deployment.store;
-        let (ops, bytes) = (limits.min_txn_ops(), limits.value_bytes());
         let name = format!("{:x}", self.nonce());
-        let lists = split_dependency_list(std::mem::take(&mut member.record.spec.depends_on), bytes);
+        let max_bytes = self.store.txn_limits().value_bytes;
+        let lists = split_dependency_list(std::mem::take(&mut member.record.spec.depends_on), max_bytes);
         member.record.dependency_list_parts =
             Some(DependencyListParts { name: name.clone(), count: lists.len() as u32 });
-        let numbered: Vec<(u32, Vec<JobId>)> = (0..).zip(lists).collect();
-        let txns = numbered.chunks(ops);
+        let txns = self.propose_dependency_list_parts(&name, lists);
         let in_progress = DependencyListInProgress { txns_left_count: txns.len(), member };
         self.api.submissions.dependency_lists.insert(name.clone(), in_progress);
-        for txn in txns {
-            let mut proposal = ProposedTxn::default();
-            for (number, list) in txn {
-                let key = Key::DependencyListPart(name.clone(), *number);
-                proposal.unchanged(&self.store.replica, key.clone());
-                proposal.put(key, to_value(list));
-            }
+        for proposal in txns {
             self.submit_txn(proposal, TxnPurpose::DependencyListParts(name.clone()));
         }
     }
 
+    /// Returns the transactions that write the parts of a dependency list.
+    fn propose_dependency_list_parts(&self, name: &str, lists: Vec<Vec<JobId>>) -> Vec<ProposedTxn> {
+        let parts = (0..).zip(lists).map(|(number, list)| {
+            let key = Key::DependencyListPart(name.to_string(), number);
+            let mut part = ProposedTxn::default();
+            part.unchanged(&self.store.replica, key.clone());
+            part.put(key, to_value(&list));
+            (number, part)
+        });
+        self.store.txn_limits().pack(parts).into_iter().map(|(_, proposal)| proposal).collect()
+    }
+
     /// Handles the result of a transaction that writes parts of a dependency list. Queues the job for a batch once all
     /// these transactions are committed; rejects the submission if one of them fails.
     pub(crate) fn dependency_list_parts_txn_finished(&mut self, name: &str, is_committed: bool) {
@@ -91,16 +94,10 @@
     /// Writes as many of the queued submissions as fit into one batch.
     pub(crate) fn write_submission_batch(&mut self) {
         self.api.submissions.last_batch_at = self.now();
-        let members = self.next_batch();
         let name = Key::JobBatch(format!("{:x}", self.nonce()));
         let mut proposal = ProposedTxn::default();
         proposal.unchanged(&self.store.replica, name.clone());
-        for member in &members {
-            proposal.unchanged(&self.store.replica, Key::Outcome(member.id.clone()));
-            if let Some(DependencyListParts { name, .. }) = &member.record.dependency_list_parts {
-                proposal.unchanged(&self.store.replica, Key::DependencyListPart(name.clone(), 0));
-            }
-        }
+        let members = self.next_batch(&name, &mut proposal);
         proposal.put(name, to_value(&members));
         let submitted = |member: JobBatchMember| {
             let has_dependencies =
@@ -110,32 +107,41 @@
         self.send_txn(proposal, TxnPurpose::Submit(members.into_iter().map(submitted).collect()));
     }
 
-    /// Takes as many submissions from the queue as fit into one value and into the preconditions of one transaction.
-    fn next_batch(&mut self) -> Vec<JobBatchMember> {
-        let limits = &self.platform.deployment.store;
-        let max_bytes = (limits.min_value_kb() * 1024.0 * VALUE_FILL_RATIO) as usize;
-        let max_preconditions = limits.min_txn_ops() * PRECONDITIONS_PER_WRITE - 1;
-        let accepted = self.clock.wall;
+    /// Takes as many submissions from the queue as fit into the batch's value and transaction, and adds their
+    /// preconditions to the transaction.
+    fn next_batch(&mut self, name: &Key, proposal: &mut ProposedTxn) -> Vec<JobBatchMember> {
+        let limits = self.store.txn_limits();
+        let name = name.to_string();
         let mut members: Vec<JobBatchMember> = Vec::new();
-        let (mut bytes, mut precondition_count) = (0, 0);
+        let mut value_bytes = LIST_OVERHEAD_BYTES;
         while let Some(QueuedSubmission { member, .. }) = self.api.submissions.queue.front() {
             let mut member = member.clone();
-            member.record.accepted_at = accepted;
-            let more_bytes = serde_json::to_string(&member).map_or(max_bytes, |text| text.len() + 1);
-            // One precondition on the job's outcome, and one on the first part of its dependency list if that is split.
-            let more_preconditions = 1 + usize::from(member.record.dependency_list_parts.is_some());
-            let fits = bytes + more_bytes <= max_bytes && precondition_count + more_preconditions <= max_preconditions;
-            if !members.is_empty() && !fits {
+            member.record.accepted_at = self.clock.wall;
+            let preconditions = self.preconditions_of(&member);
+            let value_bytes_with = value_bytes + json_size(&member) + LIST_SEPARATOR_BYTES;
+            let size = proposal.size_with(&preconditions).plus(TxnSize::of_value(&name, value_bytes_with));
+            if !members.is_empty() && !limits.admits(&size) {
                 break;
             }
-            bytes += more_bytes;
-            precondition_count += more_preconditions;
+            proposal.append(preconditions);
+            value_bytes = value_bytes_with;
             members.push(member);
             self.api.submissions.queue.pop_front();
         }
         members
     }
 
+    /// Returns the preconditions of a job's entry in a batch: that the job has no outcome, and that its dependency list
+    /// still exists.
+    fn preconditions_of(&self, member: &JobBatchMember) -> ProposedTxn {
+        let mut preconditions = ProposedTxn::default();
+        preconditions.unchanged(&self.store.replica, Key::Outcome(member.id.clone()));
+        if let Some(DependencyListParts { name, .. }) = &member.record.dependency_list_parts {
+            preconditions.unchanged(&self.store.replica, Key::DependencyListPart(name.clone(), 0));
+        }
+        preconditions
+    }
+
     /// Rejects submissions that have waited too long for the write budget; their clients are asked to retry.
     pub(crate) fn reject_overdue_submissions(&mut self) {
         let max_delay = Micros::from_millis(self.policy.user_patience_ms);
--- a/src/coordination/store_sync/mod.rs
+++ b/src/coordination/store_sync/mod.rs
@@ -20,7 +20,6 @@
 
 pub(crate) use pending_txns::{MachineChange, TxnEnd, TxnPurpose};
 pub(crate) use proposed_txn::ProposedTxn;
-pub(crate) use txn_limits::PRECONDITIONS_PER_WRITE;
 
 use crate::settings::{Platform, Policy};
 use crate::storage::{Replica, schema};
--- a/src/coordination/store_sync/txn_limits.rs
+++ b/src/coordination/store_sync/txn_limits.rs
@@ -10,7 +10,7 @@
 use crate::settings::StoreLimits;
 
 /// Maximum number of preconditions of a transaction, for each write that the store allows in it.
-pub(crate) const PRECONDITIONS_PER_WRITE: usize = 4;
+const PRECONDITIONS_PER_WRITE: usize = 4;
 /// Maximum length of a key in bytes.
 const MAX_KEY_BYTES: usize = 200;
 /// Bytes of a transaction besides its preconditions and writes: field names, brackets and braces.
--- a/tests/rules/store_limits.rs
+++ b/tests/rules/store_limits.rs
@@ -120,6 +120,24 @@
     }
 }
 
+/// Guards against a dependency list whose parts together exceed 64 KiB in one transaction: the submission was refused with
+/// each retry, so that a job that the protocol allows was never accepted.
+#[test]
+fn parts_of_a_long_dependency_list_exceed_64_kib() {
+    for (seed, deployment) in (134_000..).zip(DEPLOYMENTS) {
+        let mut world = world(seed, deployment);
+        let mut first = small_tasks(JobKind::Array, 1, 1.0);
+        first.cpus = 1.0;
+        let first = world.submit(1, first);
+        world.run_for(30 * S);
+        let mut dependent = small_tasks(JobKind::Array, 1, 1.0);
+        // 64 KiB of a submission hold this many ids in JSON.
+        dependent.depends_on = vec![first; 5400];
+        let dependent = world.submit(2, dependent);
+        assert_started(&mut world, &[dependent], 1, &format!("{deployment:?}"));
+    }
+}
+
 /// Guards against a machine whose record the store refuses for good: all machines that were to be registered together with
 /// it were refused again and again.
 #[test]
