Commands for tasks without a record count towards a message's limit

Cause: the bound of 300 commands was asked only after commands for recorded attempts; those for tasks without a record (stops, and what agents may forget) came before it without a bound. A report of 64 KiB can list so many that the answer is larger than 64 KiB, which an agent need not accept. Change: they count from the first one; the rest goes with the next message, as for all other commands.

--- a/src/coordination/fleet/agent_commands.rs
+++ b/src/coordination/fleet/agent_commands.rs
@@ -41,7 +41,7 @@
     }
 }
 
-/// Returns the commands for tasks without a stored record. Running ones are stopped. Exited ones are forgotten once no
+/// Returns the commands for tasks without a stored record, as many as fit into one message. Running ones are stopped. Exited ones are forgotten once no
 /// copy of their start command can still arrive, as it would start a forgotten task again.
 fn commands_for_unrecorded(machine: &Machine) -> Vec<AgentCommand> {
     let may_forget = machine.commands.are_settled();
@@ -52,7 +52,7 @@
             true => (may_forget && unrecorded.may_be_forgotten()).then_some(AgentCommand::Forget { task, attempt }),
         }
     };
-    machine.unrecorded.iter().filter_map(command).collect()
+    machine.unrecorded.iter().filter_map(command).take(MAX_COMMANDS_PER_MESSAGE).collect()
 }
 
 impl Controller {
