A starved shard gets a machine whose few services fit elsewhere

Cause: a job is placed on machines of its team's shard only, and only empty machines, or those with nothing but arrays of the lowest priority, change their shard. A burst of another team's services took every machine; most ended, two stayed on each machine, so none was empty and no instance could be created. Change: when urgent tasks of a shard have waited for 20 s for nothing but a machine and no instance can be created, the leader reassigns one machine that runs only services which all fit on the other machines of their shard, the one with the fewest; the holder moves the services, or removes the cordon if they no longer fit. One machine within 30 s. Stopping a replica to move it is allowed by the protocol.

--- a/src/coordination/autoscaling/capacity_plan.rs
+++ b/src/coordination/autoscaling/capacity_plan.rs
@@ -8,7 +8,7 @@
 use crate::protocol::user::Priority;
 use crate::storage::schema::{CordonReason, MachineRecord};
 use crate::types::{MachineId, Micros};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Interval between two plans.
 const PLAN_INTERVAL: Micros = Micros::from_millis(500);
@@ -24,6 +24,8 @@
     unschedulable: Vec<UnschedulableTasks>,
     /// Machines whose tasks were to be preempted for another shard, with the time of that decision.
     preempted_at: BTreeMap<MachineId, Micros>,
+    /// Shards whose urgent tasks wait for a machine, with the time since which they do.
+    starved_since: BTreeMap<u32, Micros>,
 }
 
 impl CapacityPlan {
@@ -52,6 +54,24 @@
         self.preempted_at.contains_key(machine)
     }
 
+    /// Returns whether any machine was recently reassigned although work ran on it.
+    pub fn has_recent_preemptions(&self) -> bool {
+        !self.preempted_at.is_empty()
+    }
+
+    /// Records the shards whose urgent tasks wait for a machine now.
+    pub fn note_starved_shards(&mut self, shards: BTreeSet<u32>, now: Micros) {
+        self.starved_since.retain(|shard, _| shards.contains(shard));
+        for shard in shards {
+            self.starved_since.entry(shard).or_insert(now);
+        }
+    }
+
+    /// Returns the time since which the urgent tasks of a shard wait.
+    pub fn starved_since(&self, shard: u32) -> Option<Micros> {
+        self.starved_since.get(&shard).copied()
+    }
+
     /// Forgets reassignments that are at least `max_age` old, so that these machines may be chosen again.
     pub fn forget_preemptions(&mut self, now: Micros, max_age: Micros) {
         self.preempted_at.retain(|_, at| now.since(*at) < max_age);
@@ -101,11 +121,12 @@
         unschedulable.retain(|tasks| tasks.count > 0);
         self.scale_out(&unschedulable);
         self.preempt_across_shards(&capacity, &unschedulable);
+        self.consolidate_services(&capacity, &unschedulable);
         self.scale_in_idle(&capacity, &unschedulable);
     }
 
     /// Returns the capacity of a shard's recorded machines that take work.
-    fn capacity_of_shard(&self, shard: u32) -> Vec<MachineCapacity> {
+    pub(crate) fn capacity_of_shard(&self, shard: u32) -> Vec<MachineCapacity> {
         self.store
             .replica
             .machines
--- a/src/coordination/autoscaling/mod.rs
+++ b/src/coordination/autoscaling/mod.rs
@@ -25,6 +25,7 @@
 use deletion::Deletions;
 use machine_types::{MachineTypeCatalog, MachineTypeInfo};
 use provisioning::Provisioning;
+use std::collections::BTreeSet;
 
 /// State of the autoscaler.
 #[derive(Default)]
@@ -110,6 +111,21 @@
         self.plan.was_preempted(machine)
     }
 
+    /// Returns whether any machine was recently reassigned although work ran on it.
+    pub(crate) fn has_recent_preemptions(&self) -> bool {
+        self.plan.has_recent_preemptions()
+    }
+
+    /// Records the shards whose urgent tasks wait for a machine now.
+    pub(crate) fn note_starved_shards(&mut self, shards: BTreeSet<u32>, now: Micros) {
+        self.plan.note_starved_shards(shards, now);
+    }
+
+    /// Returns the time since which the urgent tasks of a shard wait.
+    pub(crate) fn starved_since(&self, shard: u32) -> Option<Micros> {
+        self.plan.starved_since(shard)
+    }
+
     /// Forgets reassignments by preemption that are at least `max_age` old.
     pub(crate) fn forget_preemptions(&mut self, now: Micros, max_age: Micros) {
         self.plan.forget_preemptions(now, max_age);
--- a/src/coordination/fleet/shard_moves.rs
+++ b/src/coordination/fleet/shard_moves.rs
@@ -42,7 +42,8 @@
             }
             has_moves |= !departing.empty.is_empty();
             for ShardMove { machine, to } in departing.occupied {
-                if self.holds(Role::Shard(shard)) && self.should_drain_for(&machine, to) {
+                let should_drain = self.should_drain_for(&machine, to) || self.should_consolidate_for(&machine, to);
+                if self.holds(Role::Shard(shard)) && should_drain {
                     self.drain(&machine);
                 } else {
                     self.write_machine(&machine, MachineChange::Move, |record| record.cordon = None);
--- a/src/coordination/scheduling/mod.rs
+++ b/src/coordination/scheduling/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod preemption;
 pub(crate) mod quota;
 pub(crate) mod reservations;
+pub(crate) mod service_consolidation;
 pub(crate) mod shard_view;
 pub(crate) mod zone_rules;
 
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -9,6 +9,7 @@
 mod machines;
 mod mixed_scenarios;
 mod on_call;
+mod shard_starvation;
 mod store_limits;
 mod upgrade;
 mod world;
