--- a/src/storage/schema/task_attempts.rs
+++ b/src/storage/schema/task_attempts.rs
@@ -9,7 +9,7 @@
 const CHUNK_TASKS_PER_KB: u32 = 32;
 
 /// Returns the number of tasks per run chunk, which is the same on all controllers because it follows from the
-/// deployment's settings. A transaction full of chunks has to stay below 64 KiB as well.
+/// deployment's settings.
 pub fn chunk_tasks(value_kb: f64) -> u32 {
     (value_kb as u32).clamp(2, 4) * CHUNK_TASKS_PER_KB
 }
