One description of the store's limits of size for both stand-ins

Cause: the simulated world and the testbed each had the same checks of sizes. Change: the testbed's StoreSizeLimits states and checks them, and the world uses it.

--- a/crates/testbed/src/cluster/settings.rs
+++ b/crates/testbed/src/cluster/settings.rs
@@ -1,7 +1,6 @@
 //! Settings files of controllers.
 
 use super::ClusterConfig;
-use crate::store::StoreSizeLimits;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -43,8 +42,8 @@
         [config.heartbeat_interval, config.lease, config.cancel_limit].map(|duration| duration.as_secs_f64());
     text += &format!("[deployment.workers]\nreport_s = {heartbeat_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 20.0\n");
     text += &format!("gang_peer_s = 5.0\ncancel_s = {cancel_s:?}\n");
-    let StoreSizeLimits { value_kb, txn_ops } = config.store_limits;
+    let (value_kb, txn_ops) = (config.store_limits.value_kb(), config.store_limits.txn_writes);
     text += "[deployment.state]\nrps = 1000.0\nwrite_rps = 200.0\n";
-    text += &format!("value_kb = {value_kb}.0\ntxn_ops = {txn_ops}\n");
+    text += &format!("value_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n");
     text + "[deployment.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n[deployment.quota]\nfd_limit = 1000\n"
 }
--- a/crates/testbed/tests/checks.rs
+++ b/crates/testbed/tests/checks.rs
@@ -144,7 +144,7 @@
 /// The stand-in of the store refuses each transaction that exceeds one of the protocol's limits, and no other.
 #[test]
 fn the_store_refuses_transactions_above_each_limit() {
-    let limits = StoreSizeLimits { value_kb: 8, txn_ops: 12 };
+    let limits = StoreSizeLimits::stated(8, 12);
     let txn = |preconditions: usize, writes: Vec<Write>| Txn {
         preconditions: (0..preconditions).map(|n| Precondition { key: format!("k/{n}"), version: 1 }).collect(),
         writes,
--- a/tests/rules/store_limits.rs
+++ b/tests/rules/store_limits.rs
@@ -1,10 +1,11 @@
 //! Transactions and values stay within the store's limits of size, and a transaction that is refused for good is not
 //! sent again unchanged. The simulated store refuses what exceeds a limit, and counts each refusal as a violation.
 
-use super::world::{S, SMALL, Size, SizeLimits, World};
+use super::world::{S, SMALL, Size, World};
 use super::{assert_no_violations, policy_keeping_idle_machines};
 use burlhatch::protocol::user::{JobKind, JobSpec};
 use burlhatch::types::JobId;
+use burlhatch_testbed::store::StoreSizeLimits;
 
 /// Number of machines that a course uses, with four CPUs each.
 const MACHINES: usize = 24;
@@ -22,15 +23,16 @@
 /// Limits of a deployment: those that the settings state, and those that `state.next` announces.
 #[derive(Clone, Copy, Debug)]
 struct Deployment {
-    stated: SizeLimits,
-    next: Option<SizeLimits>,
+    stated: StoreSizeLimits,
+    next: Option<StoreSizeLimits>,
 }
 
-const LARGE_TXNS: Deployment = Deployment { stated: SizeLimits::stated(8, 48), next: None };
-const LARGER_TXNS: Deployment = Deployment { stated: SizeLimits::stated(8, 400), next: None };
-const LARGE_VALUES: Deployment = Deployment { stated: SizeLimits::stated(128, 12), next: None };
-const SMALL_TXNS: Deployment = Deployment { stated: SizeLimits::stated(4, 12), next: None };
-const LOWERED: Deployment = Deployment { stated: SizeLimits::stated(8, 48), next: Some(SizeLimits::stated(2, 4)) };
+const LARGE_TXNS: Deployment = Deployment { stated: StoreSizeLimits::stated(8, 48), next: None };
+const LARGER_TXNS: Deployment = Deployment { stated: StoreSizeLimits::stated(8, 400), next: None };
+const LARGE_VALUES: Deployment = Deployment { stated: StoreSizeLimits::stated(128, 12), next: None };
+const SMALL_TXNS: Deployment = Deployment { stated: StoreSizeLimits::stated(4, 12), next: None };
+const LOWERED: Deployment =
+    Deployment { stated: StoreSizeLimits::stated(8, 48), next: Some(StoreSizeLimits::stated(2, 4)) };
 const DEPLOYMENTS: [Deployment; 5] = [LARGE_TXNS, LARGER_TXNS, LARGE_VALUES, SMALL_TXNS, LOWERED];
 
 fn world(seed: u64, deployment: Deployment) -> World {
@@ -161,10 +163,10 @@
 #[test]
 fn transactions_refused_for_good_come_again_smaller() {
     let limits = [
-        SizeLimits { txn_bytes: 20_000, ..SizeLimits::stated(8, 48) },
-        SizeLimits::stated(8, 6),
-        SizeLimits::stated(2, 48),
-        SizeLimits { txn_bytes: 6_000, ..SizeLimits::stated(2, 4) },
+        StoreSizeLimits { txn_bytes: 20_000, ..StoreSizeLimits::stated(8, 48) },
+        StoreSizeLimits::stated(8, 6),
+        StoreSizeLimits::stated(2, 48),
+        StoreSizeLimits { txn_bytes: 6_000, ..StoreSizeLimits::stated(2, 4) },
     ];
     for (seed, limits) in (136_000..).zip(limits) {
         let mut world = world(seed, LARGE_TXNS);
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -2,8 +2,9 @@
 
 use super::network::{Cut, LateCommands};
 use super::store::LoweredLimits;
-use super::{Endpoint, Event, Limits, MS, S, SizeLimits, World};
+use super::{Endpoint, Event, Limits, MS, S, World};
 use burlhatch::types::MachineId;
+use burlhatch_testbed::store::StoreSizeLimits;
 use ciborium::Value;
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -227,7 +228,7 @@
     /// Lowers the store's limits for values, transactions and writes per second at that time, and announces them in the
     /// settings of the controllers that start from now on.
     pub fn lower_limits_at(&mut self, at: u64, value: usize, ops: usize, write_rps: f64) {
-        let sizes = SizeLimits { value_bytes: value, txn_writes: ops, ..self.size.store_sizes };
+        let sizes = StoreSizeLimits { value_bytes: value, txn_writes: ops, ..self.size.store_sizes };
         self.store.lowered_limits = Some(LoweredLimits { at, sizes, write_rps });
         self.next_limits = format!(
             "[deployment.state.next]\nwrite_rps = {write_rps:?}\nvalue_kb = {}.0\ntxn_ops = {ops}\n",
@@ -236,7 +237,7 @@
     }
 
     /// Lowers the store's limits of size from now on below those that the settings state.
-    pub fn lower_limits_unannounced(&mut self, sizes: SizeLimits) {
+    pub fn lower_limits_unannounced(&mut self, sizes: StoreSizeLimits) {
         self.store.lowered_limits = Some(LoweredLimits { at: self.now, sizes, write_rps: self.size.write_rps });
         self.store.expects_refusals = true;
     }
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -22,6 +22,7 @@
 use burlhatch::settings::{Platform, Policy};
 use burlhatch::storage::schema::RecordVersion;
 use burlhatch::types::{JobId, MachineId};
+use burlhatch_testbed::store::StoreSizeLimits;
 use cloud::Cloud;
 use fingerprint::Fingerprint;
 pub use network::Endpoint;
@@ -32,8 +33,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
+pub use store::Limits;
 use store::Store;
-pub use store::{Limits, SizeLimits};
 pub use users::UserJob;
 use users::{JobRequest, PendingRequest};
 
@@ -70,7 +71,7 @@
     pub zones: &'static [&'static str],
     pub times: Times,
     /// Sizes that the store accepts, as the settings state them.
-    pub store_sizes: SizeLimits,
+    pub store_sizes: StoreSizeLimits,
 }
 
 pub const SMALL: Size = Size {
@@ -80,14 +81,14 @@
     write_rps: 50.0,
     zones: &["a", "b"],
     times: TIMES,
-    store_sizes: SizeLimits::stated(4, 12),
+    store_sizes: StoreSizeLimits::stated(4, 12),
 };
 pub const LARGE: Size = Size { nodes: 5, machines: 200, capacity: 260, write_rps: 30.0, ..SMALL };
 pub const FLEET: Size = Size { machines: 1000, capacity: 1300, write_rps: 35.0, zones: &["a", "b", "c", "d"], ..LARGE };
 
 fn settings(node: usize, size: Size) -> String {
     let Size { nodes, write_rps, zones, times, store_sizes, .. } = size;
-    let (value_kb, txn_ops) = (store_sizes.value_bytes as f64 / 1024.0, store_sizes.txn_writes);
+    let (value_kb, txn_ops) = (store_sizes.value_kb(), store_sizes.txn_writes);
     let [heartbeat_s, lease_s, cancel_s] =
         [times.heartbeat, times.lease, times.cancel].map(|span| span as f64 / S as f64);
     let mut text =
--- a/tests/rules/world/store.rs
+++ b/tests/rules/world/store.rs
@@ -3,63 +3,10 @@
 use super::{Endpoint, Event as WorldEvent, MS, World};
 use burlhatch::coordination::{CallFailure, Input, ReadOutcome, SessionOutcome, StoreCall, TxnOutcome};
 use burlhatch::protocol::store::{Changes, Event, Item, Page, Txn, Write};
+use burlhatch_testbed::store::StoreSizeLimits;
 use ciborium::Value;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Maximum size of a transaction in its JSON form, in bytes.
-const MAX_TXN_BYTES: usize = 64 * 1024;
-/// Preconditions that a transaction may have for each write that it may have.
-const PRECONDITIONS_PER_WRITE: usize = 4;
-/// Maximum length of a key in bytes.
-const MAX_KEY_BYTES: usize = 200;
-
-/// Limits of the sizes of values and transactions.
-#[derive(Clone, Copy, Debug)]
-pub struct SizeLimits {
-    /// Bytes of a value at most.
-    pub value_bytes: usize,
-    /// Writes of a transaction at most.
-    pub txn_writes: usize,
-    /// Bytes of a transaction at most.
-    pub txn_bytes: usize,
-}
-
-impl SizeLimits {
-    /// Returns the limits of a deployment whose settings state these for values and writes.
-    pub const fn stated(value_kb: usize, txn_writes: usize) -> SizeLimits {
-        SizeLimits { value_bytes: value_kb * 1024, txn_writes, txn_bytes: MAX_TXN_BYTES }
-    }
-
-    /// Returns why the store refuses a transaction for good, or `None` if it accepts transactions of this size. All
-    /// sizes are counted in the JSON form.
-    fn reason_to_refuse(&self, txn: &Txn) -> Option<String> {
-        let bytes = json_bytes(txn);
-        let max_preconditions = self.txn_writes * PRECONDITIONS_PER_WRITE;
-        if bytes > self.txn_bytes {
-            return Some(format!("{bytes} bytes"));
-        }
-        if txn.writes.len() > self.txn_writes {
-            return Some(format!("{} writes", txn.writes.len()));
-        }
-        if txn.preconditions.len() > max_preconditions {
-            return Some(format!("{} preconditions", txn.preconditions.len()));
-        }
-        let written_keys = txn.writes.iter().map(|write| match write {
-            Write::Put { key, .. } | Write::Delete { key } => key,
-        });
-        let mut keys = written_keys.chain(txn.preconditions.iter().map(|precondition| &precondition.key));
-        if let Some(key) = keys.find(|key| key.is_empty() || key.len() > MAX_KEY_BYTES || key.contains(' ')) {
-            return Some(format!("key {key:?}"));
-        }
-        txn.writes.iter().find_map(|write| match write {
-            Write::Put { key, value, .. } if json_bytes(value) > self.value_bytes => {
-                Some(format!("{} bytes in the value of {key}", json_bytes(value)))
-            }
-            Write::Put { .. } | Write::Delete { .. } => None,
-        })
-    }
-}
-
 fn json_bytes(data: &impl serde::Serialize) -> usize {
     serde_json::to_string(data).expect("plain data").len()
 }
@@ -68,7 +15,7 @@
 #[derive(Clone, Copy)]
 pub struct LoweredLimits {
     pub at: u64,
-    pub sizes: SizeLimits,
+    pub sizes: StoreSizeLimits,
     pub write_rps: f64,
 }
 
@@ -142,7 +89,7 @@
     pub write_count: u64,
     /// Requests received, including those above the limit.
     pub request_count: u64,
-    stated_sizes: SizeLimits,
+    stated_sizes: StoreSizeLimits,
     pub lowered_limits: Option<LoweredLimits>,
     /// Whether transactions that are refused for good are part of the test; otherwise each is a violation.
     pub expects_refusals: bool,
@@ -165,7 +112,7 @@
 }
 
 impl Store {
-    pub fn new(write_rps: f64, stated_sizes: SizeLimits) -> Store {
+    pub fn new(write_rps: f64, stated_sizes: StoreSizeLimits) -> Store {
         Store {
             keys: BTreeMap::new(),
             revision: 0,
@@ -282,7 +229,7 @@
     }
 
     /// Returns the limits of size as of the last transaction.
-    fn sizes(&self) -> SizeLimits {
+    fn sizes(&self) -> StoreSizeLimits {
         let lowered = self.lowered_limits.filter(|lowered| self.write_bucket.updated_at >= lowered.at);
         lowered.map_or(self.stated_sizes, |lowered| lowered.sizes)
     }
