Urgency is propagated in topological order, once for all changes

Callers saw: a job of under 1 KiB with a deadline, the last of 57, got no answer; from then on no question was answered, as all controllers exceeded their memory limit within a second, and again after each restart.

Cause: the walk that carries a due time to the jobs before went depth first and visited a job again for each path that brought an earlier time, and kept an entry for each visit. It also ran for each dependency of each submission. Change: the graph collects what changed; one walk in topological order before a scheduling cycle visits each job and follows each dependency at most once. The initial sync needs one walk. Its size is logged. tests/model.rs propagates before it compares; its checks are the same.

--- a/src/coordination/jobs/dependencies.rs
+++ b/src/coordination/jobs/dependencies.rs
@@ -12,14 +12,6 @@
 use crate::storage::schema::{JobRecord, Key, Outcome, OutcomeRecord, Role, to_value};
 use crate::types::{JobId, Micros};
 
-/// The result of linking a job to its dependencies.
-struct LinkedDependencies {
-    /// Whether a dependency was cancelled, so that the job is cancelled too.
-    has_cancelled_dependency: bool,
-    /// Jobs whose urgency was raised.
-    raised: Vec<JobId>,
-}
-
 impl Controller {
     /// Returns the outcome of a job, which follows from its own records or those of a dependency.
     pub(crate) fn outcome(&self, id: &JobId) -> Option<Outcome> {
@@ -50,36 +42,33 @@
         }
         let (own_urgency, duration) = (known.record.urgency(), self.estimated_duration(&known.record));
         self.jobs.dependency_graph.upsert(id, own_urgency, duration);
-        let linked = self.link_dependencies(id, &depends_on);
+        let has_cancelled_dependency = self.link_dependencies(id, &depends_on);
         self.copy_urgency_from_graph(id);
-        for raised in &linked.raised {
-            self.copy_urgency_from_graph(raised);
-        }
         let waits = self.jobs.dependency_graph.has_open_dependencies(id);
         if let Some(job) = self.jobs.get_mut(id) {
-            job.scheduling.waits_for_dependencies = waits || linked.has_cancelled_dependency;
+            job.scheduling.waits_for_dependencies = waits || has_cancelled_dependency;
         }
-        if linked.has_cancelled_dependency {
+        if has_cancelled_dependency {
             self.cascade_cancellation(id);
             self.propagate_outcome(id);
         }
     }
 
-    fn link_dependencies(&mut self, id: &JobId, depends_on: &[JobId]) -> LinkedDependencies {
-        let mut linked = LinkedDependencies { has_cancelled_dependency: false, raised: Vec::new() };
+    /// Links a job to its dependencies that have not ended. Returns whether any of them was cancelled, so that the job is
+    /// cancelled too.
+    fn link_dependencies(&mut self, id: &JobId, depends_on: &[JobId]) -> bool {
+        let mut has_cancelled_dependency = false;
         for dependency in depends_on {
             match self.outcome(dependency) {
                 Some(Outcome::Done) => {}
-                Some(Outcome::Cancelled) => linked.has_cancelled_dependency = true,
+                Some(Outcome::Cancelled) => has_cancelled_dependency = true,
                 None => {
                     self.upsert_dependency(dependency);
-                    linked.raised.extend(self.jobs.dependency_graph.link(id, dependency));
+                    self.jobs.dependency_graph.link(id, dependency);
                 }
             }
         }
-        // The job may have been a node before, as a dependency of other jobs, with an urgency raised by them.
-        linked.raised.extend(self.jobs.dependency_graph.propagate_urgency(id));
-        linked
+        has_cancelled_dependency
     }
 
     fn upsert_dependency(&mut self, dependency: &JobId) {
@@ -98,6 +87,24 @@
         }
     }
 
+    /// Raises the urgency of the jobs that other, more urgent ones depend on. Called before a scheduling cycle, so that
+    /// any number of submissions, or the initial sync, needs one walk over the dependencies.
+    pub(crate) fn propagate_urgency(&mut self) {
+        let propagation = self.jobs.dependency_graph.propagate_urgency();
+        if propagation.visited_jobs == 0 {
+            return;
+        }
+        for id in &propagation.raised {
+            self.copy_urgency_from_graph(id);
+        }
+        tracing::debug!(
+            visited_jobs = propagation.visited_jobs,
+            followed_dependencies = propagation.followed_dependencies,
+            raised_jobs = propagation.raised.len(),
+            "urgency propagated to dependencies"
+        );
+    }
+
     /// Cancels a job because a dependency was cancelled.
     fn cascade_cancellation(&mut self, id: &JobId) {
         if self.store.replica.outcomes.contains_key(id) {
--- a/src/coordination/jobs/dependency_graph.rs
+++ b/src/coordination/jobs/dependency_graph.rs
@@ -4,10 +4,13 @@
 //! nodes. Each node holds the dependencies that it still waits for and the jobs that depend on it, so no operation
 //! visits all jobs. Urgency propagates from dependents to dependencies: a job is at least as urgent as the most urgent
 //! job that depends on it, and has to be done early enough for that job.
+//!
+//! Changes are collected and propagated together, in topological order. One propagation follows each dependency once,
+//! however many changes there were and however many paths lead to a job.
 
 use crate::protocol::user::Priority;
 use crate::types::{JobId, Micros};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// The urgency of a job, by itself or for the jobs that depend on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,10 +42,37 @@
     duration: Micros,
 }
 
+impl Node {
+    /// Returns the urgency that the job requires of its dependencies.
+    fn required_urgency(&self) -> Urgency {
+        let due_at = self.urgency.due_at.map(|at| at - self.duration);
+        Urgency { priority: self.urgency.priority, due_at }
+    }
+}
+
+/// A step of the depth-first search that sorts jobs topologically.
+enum SearchStep<'a> {
+    Enter(&'a JobId),
+    Leave(&'a JobId),
+}
+
+/// What one propagation of urgency has done.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Propagation {
+    /// Jobs whose urgency was raised, each once.
+    pub raised: Vec<JobId>,
+    /// Number of jobs that were visited.
+    pub visited_jobs: usize,
+    /// Number of dependencies that were followed.
+    pub followed_dependencies: usize,
+}
+
 /// The jobs that have not ended and have dependencies or dependents.
 #[derive(Debug, Default)]
 pub struct DependencyGraph {
     nodes: HashMap<JobId, Node>,
+    /// Jobs that have changed since the last propagation.
+    changed: BTreeSet<JobId>,
 }
 
 impl DependencyGraph {
@@ -63,12 +93,13 @@
         let node = self.nodes.entry(id.clone()).or_insert_with(new);
         node.urgency = node.urgency.max(own_urgency);
         node.duration = duration;
+        self.changed.insert(id.clone());
     }
 
-    /// Makes `id` depend on `dependency`, both of which must be nodes. Returns the jobs whose urgency was raised.
-    pub fn link(&mut self, id: &JobId, dependency: &JobId) -> Vec<JobId> {
+    /// Makes `id` depend on `dependency`, both of which must be nodes.
+    pub fn link(&mut self, id: &JobId, dependency: &JobId) {
         if !self.nodes.contains_key(dependency) {
-            return Vec::new();
+            return;
         }
         if let Some(node) = self.nodes.get_mut(id) {
             node.dependencies.insert(dependency.clone());
@@ -76,34 +107,75 @@
         if let Some(node) = self.nodes.get_mut(dependency) {
             node.dependents.insert(id.clone());
         }
-        self.propagate_urgency(id)
+        self.changed.insert(id.clone());
+    }
+
+    /// Propagates the urgency of the jobs that have changed to their direct and indirect dependencies.
+    pub fn propagate_urgency(&mut self) -> Propagation {
+        let changed = std::mem::take(&mut self.changed);
+        let sources: Vec<&JobId> = changed.iter().filter(|id| self.raises_any_dependency(id)).collect();
+        let sorted = self.dependents_first(&sources);
+        let mut propagation = Propagation { visited_jobs: sorted.len(), ..Propagation::default() };
+        let mut raised: HashSet<JobId> = HashSet::new();
+        for id in &sorted {
+            let Some(node) = self.nodes.get_mut(id) else { continue };
+            let required = node.required_urgency();
+            let dependencies = std::mem::take(&mut node.dependencies);
+            propagation.followed_dependencies += dependencies.len();
+            for dependency in &dependencies {
+                if self.raise(dependency, required) && raised.insert(dependency.clone()) {
+                    propagation.raised.push(dependency.clone());
+                }
+            }
+            if let Some(node) = self.nodes.get_mut(id) {
+                node.dependencies = dependencies;
+            }
+        }
+        propagation
+    }
+
+    /// Returns whether a job requires more of any direct dependency than that has now.
+    fn raises_any_dependency(&self, id: &JobId) -> bool {
+        let Some(node) = self.nodes.get(id) else { return false };
+        let required = node.required_urgency();
+        let is_raised = |dependency: &Node| dependency.urgency.max(required) != dependency.urgency;
+        node.dependencies.iter().filter_map(|dependency| self.nodes.get(dependency)).any(is_raised)
+    }
+
+    /// Raises a job's urgency to at least `required`. Returns whether it was lower.
+    fn raise(&mut self, id: &JobId, required: Urgency) -> bool {
+        let Some(node) = self.nodes.get_mut(id) else { return false };
+        let urgency = node.urgency.max(required);
+        let is_raised = urgency != node.urgency;
+        node.urgency = urgency;
+        is_raised
     }
 
-    /// Propagates a job's urgency to its direct and indirect dependencies; returns those whose urgency was raised.
-    pub fn propagate_urgency(&mut self, id: &JobId) -> Vec<JobId> {
-        let mut raised = Vec::new();
-        let mut to_visit = vec![id.clone()];
-        while let Some(id) = to_visit.pop() {
-            let Some(node) = self.nodes.get(&id) else { continue };
-            let due_at = node.urgency.due_at.map(|at| at - node.duration);
-            let wanted = Urgency { priority: node.urgency.priority, due_at };
-            for dependency in node.dependencies.clone() {
-                let Some(node) = self.nodes.get_mut(&dependency) else { continue };
-                let urgency = node.urgency.max(wanted);
-                if urgency != node.urgency {
-                    node.urgency = urgency;
-                    raised.push(dependency.clone());
-                    to_visit.push(dependency);
+    /// Returns these jobs and their direct and indirect dependencies, each once and after all its dependents among them.
+    fn dependents_first(&self, sources: &[&JobId]) -> Vec<JobId> {
+        let mut entered: HashSet<&JobId> = HashSet::new();
+        let mut sorted = Vec::new();
+        let mut steps: Vec<SearchStep> = sources.iter().map(|id| SearchStep::Enter(id)).collect();
+        while let Some(step) = steps.pop() {
+            match step {
+                SearchStep::Leave(id) => sorted.push(id.clone()),
+                SearchStep::Enter(id) => {
+                    let Some(node) = self.nodes.get(id).filter(|_| entered.insert(id)) else { continue };
+                    steps.push(SearchStep::Leave(id));
+                    let unentered = node.dependencies.iter().filter(|dependency| !entered.contains(dependency));
+                    steps.extend(unentered.map(SearchStep::Enter));
                 }
             }
         }
-        raised
+        sorted.reverse();
+        sorted
     }
 
     /// Removes a job that has ended. If it is done, returns the dependents without further open dependencies; if not,
     /// returns all its dependents, which can never start.
     pub fn remove_ended(&mut self, id: &JobId, is_done: bool) -> Vec<JobId> {
         let Some(ended) = self.nodes.remove(id) else { return Vec::new() };
+        self.changed.remove(id);
         for dependency in &ended.dependencies {
             if let Some(node) = self.nodes.get_mut(dependency) {
                 node.dependents.remove(id);
--- a/src/coordination/scheduling/cycle.rs
+++ b/src/coordination/scheduling/cycle.rs
@@ -17,6 +17,7 @@
             if !self.scheduling.is_cycle_due(now, min_interval) {
                 return;
             }
+            self.propagate_urgency();
             let jobs = self.jobs_in_scheduling_order();
             self.scheduling.begin_cycle(jobs, now);
         }
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -457,6 +457,7 @@
                     prop_assert_eq!(cancelled, expected_cancelled);
                 }
             }
+            graph.propagate_urgency();
             for n in (0..model.len()).filter(|n| model_success(&model, *n).is_none()) {
                 prop_assert_eq!(graph.has_open_dependencies(&id(n)), model_waits(&model, n));
                 if let (true, Some(urgency)) = (none_ended, graph.urgency(&id(n))) {
