--- a/src/coordination/autoscaling/demand.rs
+++ b/src/coordination/autoscaling/demand.rs
@@ -39,7 +39,8 @@
 type PlannedUsage<'a> = HashMap<&'a str, Resources>;
 
 impl Controller {
-    /// Packs the waiting tasks of a shard into its machines, and adds to `unschedulable` those that find no capacity.
+    /// Packs the waiting tasks of a shard and its spare capacity into its machines, and adds to `unschedulable` what finds
+    /// no capacity.
     pub(super) fn pack_waiting_jobs(
         &self,
         shard: u32,
@@ -47,11 +48,32 @@
         unschedulable: &mut Vec<UnschedulableTasks>,
     ) {
         let jobs = self.open_jobs_by_urgency(shard);
+        let backlog = self.pack_jobs(&jobs, shard, machines, unschedulable);
+        unschedulable.extend(self.spare_demand(&jobs, shard, machines));
+        unschedulable.extend(self.backlog_demand(backlog, &jobs));
+    }
+
+    /// Returns the capacity of a shard's machines that its waiting tasks leave free.
+    pub(crate) fn capacity_beside_waiting_jobs(&self, shard: u32) -> Vec<MachineCapacity> {
+        let mut machines = self.capacity_of_shard(shard);
+        self.pack_jobs(&self.open_jobs_by_urgency(shard), shard, &mut machines, &mut Vec::new());
+        machines
+    }
+
+    /// Packs the waiting tasks of a shard's jobs into its machines. Adds to `unschedulable` the tasks of gangs and services
+    /// that find no capacity, and returns the batch backlog.
+    fn pack_jobs(
+        &self,
+        jobs: &[&Job],
+        shard: u32,
+        machines: &mut [MachineCapacity],
+        unschedulable: &mut Vec<UnschedulableTasks>,
+    ) -> BatchBacklog {
         let mut backlog = BatchBacklog::default();
-        let mut usage = self.usage_by_team(&jobs);
-        for job in &jobs {
+        let mut usage = self.usage_by_team(jobs);
+        for job in jobs {
             let is_batch = job.spec.kind == JobKind::Array;
-            let wanted = self.tasks_needing_capacity(job, machines);
+            let wanted = self.tasks_needing_capacity(job, shard, machines);
             let count = self.charge_team_quota(job, wanted, &mut usage);
             // Tasks held back by the team's quota are also backlog: with more machines they would be done sooner.
             if is_batch {
@@ -74,15 +96,14 @@
                 unschedulable.push(tasks);
             }
         }
-        unschedulable.extend(self.spare_demand(&jobs, shard, machines));
-        unschedulable.extend(self.backlog_demand(backlog, &jobs));
+        backlog
     }
 
     /// Returns the open jobs of a shard by priority and ready time, without those bound to a zone that takes no work.
     fn open_jobs_by_urgency(&self, shard: u32) -> Vec<&Job> {
         let has_usable_zone = |job: &Job| job.spec.zone.as_ref().is_none_or(|zone| self.zone_takes_work(zone));
         let is_open = |job: &&Job| {
-            job.shard == shard && job.recording.has_record && job.outcome.is_none() && has_usable_zone(job)
+            job.is_in_shard(shard) && job.recording.has_record && job.outcome.is_none() && has_usable_zone(job)
         };
         let mut jobs: Vec<&Job> = self.jobs.values().filter(is_open).collect();
         jobs.sort_by_key(|job| (std::cmp::Reverse(job.urgency.priority), job.ready_at));
@@ -112,25 +133,26 @@
         team.map_or(u64::MAX, |team| TeamQuota::of_team(team).remaining_tasks(used, each))
     }
 
-    /// Returns how many tasks of a job need capacity. Displaced replicas in lost zones need it elsewhere before they
+    /// Returns how many tasks of a job need capacity in a shard. Displaced replicas in lost zones need it elsewhere before they
     /// are proven absent, because provisioning takes as long as the proof.
-    fn tasks_needing_capacity(&self, job: &Job, machines: &[MachineCapacity]) -> u64 {
-        let displaced_count = self.zones.displaced_count(job.attempts.job());
-        self.waiting_tasks_needing_capacity(job, machines) + u64::from(displaced_count)
+    fn tasks_needing_capacity(&self, job: &Job, shard: u32, machines: &[MachineCapacity]) -> u64 {
+        let displaced_count = if shard == job.shard { self.zones.displaced_count(job.attempts.job()) } else { 0 };
+        self.waiting_tasks_needing_capacity(job, shard, machines) + u64::from(displaced_count)
     }
 
     /// Returns for how many waiting tasks of a job machines may be created or reassigned. A job that fails wherever it
     /// runs gets a single machine for another try, and only if no machine exists on which it may run.
-    fn waiting_tasks_needing_capacity(&self, job: &Job, machines: &[MachineCapacity]) -> u64 {
+    fn waiting_tasks_needing_capacity(&self, job: &Job, shard: u32, machines: &[MachineCapacity]) -> u64 {
+        let waiting_count = job.waiting_count_in(shard);
         if !job.is_failing() {
-            return u64::from(job.waiting_count());
+            return u64::from(waiting_count);
         }
         let need = job.spec.resources();
         let could_hold = |machine: &MachineCapacity| {
             let resources = machine.machine.as_ref().map_or(machine.free, |id| self.machine_resources(id));
             machine.is_allowed_for(&job.spec) && need.fits_in(&resources)
         };
-        u64::from(job.waiting_count() > 0 && !machines.iter().any(could_hold))
+        u64::from(waiting_count > 0 && !machines.iter().any(could_hold))
     }
 
     /// Returns the demand of the batch backlog. Tasks that the shard's present capacity finishes within the time of
--- a/src/coordination/control/versions.rs
+++ b/src/coordination/control/versions.rs
@@ -14,6 +14,10 @@
 /// machines itself, which is safe only if the machine's record is a precondition of each attempt.
 const HOLDER_MOVES_MACHINES: RecordVersion = RecordVersion(1);
 
+/// First version in which the stored loans of a job's tasks say which shard schedules them. A controller of an earlier
+/// version ignores the loans: it would start lent tasks itself, and not record the ends of tasks lent to its shard.
+const LOANS_ASSIGN_TASKS: RecordVersion = RecordVersion(2);
+
 /// The controller that moves machines out of a shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mover {
@@ -53,6 +57,13 @@
     replica.controllers.values().map(|controller| controller.value.version).min()
 }
 
+/// Returns whether tasks may be lent: this controller, all that are alive and all that hold a role follow the loans.
+pub fn may_lend_tasks(replica: &Replica, own: RecordVersion) -> bool {
+    let holders = replica.roles.values().map(|stored| stored.value.version);
+    let versions = oldest_record_version(replica).into_iter().chain(holders);
+    versions.chain([own]).all(|version| version >= LOANS_ASSIGN_TASKS)
+}
+
 impl Controller {
     /// Returns the record version that this controller follows.
     pub(crate) fn record_version(&self) -> RecordVersion {
--- a/src/coordination/fleet/cancellation_enforcement.rs
+++ b/src/coordination/fleet/cancellation_enforcement.rs
@@ -140,10 +140,12 @@
         for (id, deadline) in &self.fleet.cancellation_enforcement.deadlines {
             let Some(job) = self.jobs.get(id) else { continue };
             let due_at = deadline.delete_machines_at;
-            if due_at > now || job.attempts.occupying_count() == 0 || !self.enforces_cancellations_of(job.shard) {
+            if due_at > now || job.attempts.occupying_count() == 0 {
                 continue;
             }
-            for attempt in job.attempts.values().filter(|attempt| attempt.may_be_on_machine()) {
+            let enforced: Vec<u32> = job.shards().filter(|shard| self.enforces_cancellations_of(*shard)).collect();
+            let in_enforced = job.attempts.iter().filter(|(task, _)| enforced.contains(&job.shard_of_task(*task)));
+            for (_, attempt) in in_enforced.filter(|(_, attempt)| attempt.may_be_on_machine()) {
                 let first = due_at_by_machine.entry(attempt.machine().clone()).or_insert(due_at);
                 *first = (*first).min(due_at);
             }
--- a/src/coordination/jobs/attempt_events.rs
+++ b/src/coordination/jobs/attempt_events.rs
@@ -112,7 +112,9 @@
             job.recording.is_txn_in_flight = false;
             job.recording.is_continued &= is_committed;
             job.recording.is_written_alone &= !is_committed;
+            job.scheduling.is_lending = false;
         }
+        self.jobs.update_lent(id);
         self.reconcile_job(id);
         // Attempts that a refused transaction should have removed from the records still have to be removed.
         let now = self.now();
--- a/src/coordination/jobs/cancellations.rs
+++ b/src/coordination/jobs/cancellations.rs
@@ -10,6 +10,7 @@
 
 use crate::coordination::api::UNAVAILABLE;
 use crate::coordination::jobs::cancellation_log::ConfirmationBasis;
+use crate::coordination::jobs::job::Job;
 use crate::coordination::{Controller, Effect, RequestId, UserAnswer};
 use crate::protocol::peer::{CancellationAck, CancellationNotice, CancelledJob};
 use crate::protocol::user::is_valid_job_id;
@@ -24,15 +25,21 @@
 #[derive(Default)]
 pub(crate) struct Cancellations {
     waiting: BTreeMap<JobId, Vec<WaitingClient>>,
-    /// Jobs whose cancellation the holder of their shard has acknowledged.
-    acknowledged: BTreeSet<JobId>,
-    /// The jobs that each notice in flight to a sibling contains.
-    calls_in_flight: BTreeMap<u64, Vec<JobId>>,
+    /// Jobs whose cancellation the holder of a shard with tasks of them has acknowledged, with that shard.
+    acknowledged: BTreeSet<(JobId, u32)>,
+    /// The notices in flight to siblings.
+    calls_in_flight: BTreeMap<u64, NoticeInFlight>,
     last_call: u64,
     /// Jobs whose holder did not acknowledge a notice with several jobs: each is sent in a notice of its own.
     to_notify_individually: BTreeSet<JobId>,
 }
 
+/// A notice to the holder of a shard that was not answered yet.
+struct NoticeInFlight {
+    shard: u32,
+    jobs: Vec<JobId>,
+}
+
 /// A client that waits for a cancellation to be confirmed.
 struct WaitingClient {
     request_id: RequestId,
@@ -76,12 +83,12 @@
     }
 
     fn has_notice_in_flight(&self, id: &JobId) -> bool {
-        self.calls_in_flight.values().flatten().any(|notified| notified == id)
+        self.calls_in_flight.values().any(|notice| notice.jobs.contains(id))
     }
 
-    fn begin_call(&mut self, ids: Vec<JobId>) -> u64 {
+    fn begin_call(&mut self, shard: u32, jobs: Vec<JobId>) -> u64 {
         self.last_call += 1;
-        self.calls_in_flight.insert(self.last_call, ids);
+        self.calls_in_flight.insert(self.last_call, NoticeInFlight { shard, jobs });
         self.last_call
     }
 
@@ -110,9 +117,6 @@
                 false => ConfirmationState::ReplicaTooOld,
             };
         };
-        if self.jobs.cancellations.acknowledged.contains(id) {
-            return ConfirmationState::Confirmed(ConfirmationBasis::ShardHolder);
-        }
         // The replica may be older than the cancellation: then its shard holder may have been replaced since, and the
         // stored records may contain attempts that the replica does not show.
         if self.store.replica.applied_revision.0 < end.version {
@@ -125,15 +129,33 @@
             return ConfirmationState::Confirmed(ConfirmationBasis::NoAttempts);
         }
         let Some(job) = self.jobs.get(id) else { return ConfirmationState::ReplicaTooOld };
-        self.confirmation_by_holder(id, job.shard)
+        let mut confirmed = ConfirmationState::Confirmed(ConfirmationBasis::NoAttempts);
+        for shard in self.shards_with_recorded_attempts(id, job) {
+            confirmed = self.confirmation_by_holder(id, shard);
+            if !matches!(confirmed, ConfirmationState::Confirmed(_)) {
+                return confirmed;
+            }
+        }
+        confirmed
+    }
+
+    /// Returns the shards that schedule the tasks with a recorded attempt. They don't change any more once the job has an
+    /// outcome.
+    fn shards_with_recorded_attempts(&self, id: &JobId, job: &Job) -> BTreeSet<u32> {
+        let chunks = self.store.replica.run_chunks.get(id).into_iter().flat_map(BTreeMap::values);
+        let attempts = chunks.flat_map(|chunk| &chunk.value.task_attempts);
+        attempts.map(|attempt| job.shard_of_task(attempt.task)).collect()
     }
 
-    /// Returns the confirmation state of a job with recorded attempts, which depends on the holder of its shard.
+    /// Returns the confirmation state of a job with recorded attempts in a shard, which depends on the shard's holder.
     fn confirmation_by_holder(&self, id: &JobId, shard: u32) -> ConfirmationState {
+        if self.jobs.cancellations.acknowledged.contains(&(id.clone(), shard)) {
+            return ConfirmationState::Confirmed(ConfirmationBasis::ShardHolder);
+        }
         let role = Role::Shard(shard);
         // This controller holds the shard, and the replica shows no later holder.
         if self.holds(role) {
-            return match self.is_holder_confirmed_for_job(id) {
+            return match self.is_holder_confirmed_for_job(id, shard) {
                 true => ConfirmationState::Confirmed(ConfirmationBasis::OwnShard),
                 false => ConfirmationState::HolderNotConfirmed,
             };
@@ -148,11 +170,12 @@
         }
     }
 
-    /// Whether all machines with a recorded attempt of the job are deleted or have reported a fencing token of this
-    /// holder. From then on no earlier holder can renew their leases or start an attempt there.
-    fn is_holder_confirmed_for_job(&self, id: &JobId) -> bool {
+    /// Whether all machines of the shard with a recorded attempt of the job are deleted or have reported a fencing token
+    /// of this holder. From then on no earlier holder can renew their leases or start an attempt there.
+    fn is_holder_confirmed_for_job(&self, id: &JobId, shard: u32) -> bool {
         let Some(job) = self.jobs.get(id) else { return true };
-        job.attempts.values().filter(|attempt| attempt.may_be_on_machine()).all(|attempt| {
+        let in_shard = job.attempts.iter().filter(|(task, _)| job.shard_of_task(*task) == shard);
+        in_shard.map(|(_, attempt)| attempt).filter(|attempt| attempt.may_be_on_machine()).all(|attempt| {
             let machine = attempt.machine();
             self.is_deleted_for_cancellation(machine)
                 || self.fleet.machine(machine).is_some_and(|m| m.ownership.is_holder_confirmed())
@@ -228,18 +251,18 @@
         };
         let jobs = ids.iter().filter_map(cancelled_job).collect();
         let message = CancellationNotice { shard: holder.shard, fencing_token: holder.fencing_token.0, jobs };
-        let call = self.jobs.cancellations.begin_call(ids);
+        let call = self.jobs.cancellations.begin_call(holder.shard, ids);
         self.out.push(Effect::Peer { call, to: holder.label, message });
     }
 
     /// Handles a sibling's answer to a notice of cancelled jobs, or the failure of that call.
     pub(crate) fn cancellation_acknowledged(&mut self, call: u64, answer: Option<CancellationAck>) {
         let cancellations = &mut self.jobs.cancellations;
-        let Some(ids) = cancellations.calls_in_flight.remove(&call) else { return };
+        let Some(NoticeInFlight { shard, jobs: ids }) = cancellations.calls_in_flight.remove(&call) else { return };
         if answer.is_some_and(|ack| ack.holds_shard) {
-            cancellations.acknowledged.extend(ids);
+            cancellations.acknowledged.extend(ids.into_iter().map(|id| (id, shard)));
             if cancellations.acknowledged.len() > PRUNE_ABOVE {
-                cancellations.acknowledged.retain(|id| self.store.replica.has_recorded_attempts(id));
+                cancellations.acknowledged.retain(|(id, _)| self.store.replica.has_recorded_attempts(id));
             }
             return;
         }
@@ -279,7 +302,7 @@
     /// jobs' machines reject commands of earlier holders.
     fn enforces_cancellations(&self, message: &CancellationNotice) -> bool {
         let mut jobs = message.jobs.iter().filter(|job| is_valid_job_id(&job.id));
-        jobs.all(|job| self.is_holder_confirmed_for_job(&JobId::new(&job.id)))
+        jobs.all(|job| self.is_holder_confirmed_for_job(&JobId::new(&job.id), message.shard))
             && self
                 .role_token(Role::Shard(message.shard))
                 .is_some_and(|fencing_token| fencing_token.0 >= message.fencing_token)
--- a/src/coordination/jobs/job.rs
+++ b/src/coordination/jobs/job.rs
@@ -5,8 +5,9 @@
 use crate::coordination::jobs::job_attempts::JobAttempts;
 use crate::coordination::jobs::progress::TaskProgress;
 use crate::protocol::user::{JobKind, JobSpec, Priority};
-use crate::storage::schema::{JobRecord, Outcome, RunChunk};
+use crate::storage::schema::{JobRecord, Outcome, RunChunk, TaskLoans};
 use crate::types::{JobId, Micros, Resources};
+use std::ops::Range;
 use std::sync::Arc;
 
 /// Bounds of the pause after the store has refused a job's records for good.
@@ -20,8 +21,12 @@
     pub accepted_at: Micros,
     /// Resources that one task takes.
     pub resources: Resources,
-    /// The shard whose holder schedules the job and records its attempts.
+    /// The shard of the job's team, whose holder enforces the team's quota.
+    pub home_shard: u32,
+    /// The shard that schedules the tasks that `loans` doesn't name: the home shard, unless the whole job is lent.
     pub shard: u32,
+    /// Tasks that further shards schedule.
+    pub loans: TaskLoans,
     pub attempts: JobAttempts,
     pub progress: TaskProgress,
     pub failures: FailureHistory,
@@ -100,6 +105,12 @@
     pub next_preemption_at: Micros,
     /// Whether tasks wait, although resources may be available, because its chunks have no space for more attempts.
     pub is_blocked_by_full_chunks: bool,
+    /// The time since which tasks wait in shards held by this controller.
+    pub waiting_since: Option<Micros>,
+    /// The time before which no room is searched in other shards.
+    pub next_lending_at: Micros,
+    /// Whether a transaction that lends tasks is in flight.
+    pub is_lending: bool,
 }
 
 impl Job {
@@ -108,7 +119,9 @@
             spec: Arc::new(record.spec.clone()),
             accepted_at: record.accepted_at,
             resources: record.spec.resources(),
+            home_shard: shard,
             shard,
+            loans: TaskLoans::default(),
             attempts: JobAttempts::new(id.clone(), &record.spec),
             progress: TaskProgress::default(),
             failures: FailureHistory::default(),
@@ -160,12 +173,13 @@
         self.progress.unrecorded_done.contains(&task) || chunk.is_some_and(|chunk| chunk.is_done(task))
     }
 
-    /// Returns the next task that may start now, see [`TaskProgress::next_task`].
-    pub fn next_task(&self, now: Micros, chunk_tasks: u32, has_space: impl Fn(u32) -> bool) -> Option<u32> {
+    /// Returns the next task of a shard that may start now, see [`TaskProgress::next_task`].
+    pub fn next_task(&self, shard: u32, now: Micros, chunk_tasks: u32, has_space: impl Fn(u32) -> bool) -> Option<u32> {
         if self.scheduling.waits_for_dependencies {
             return None;
         }
-        self.progress.next_task(self.spec.tasks, &self.failures, now, chunk_tasks, has_space)
+        let first_in_shard = |tasks: Range<u32>| self.first_task_in_shard(shard, tasks);
+        self.progress.next_task(self.spec.tasks, &self.failures, now, chunk_tasks, first_in_shard, has_space)
     }
 
     /// Whether the gang is done. A gang completes as a whole: one task done means that all tasks are done, including
--- a/src/coordination/jobs/mod.rs
+++ b/src/coordination/jobs/mod.rs
@@ -21,9 +21,10 @@
 pub mod job_attempts;
 pub(crate) mod progress;
 pub(crate) mod reconciliation;
+pub(crate) mod task_shards;
 pub mod usage;
 
-use crate::types::{JobId, TaskId};
+use crate::types::{JobId, Micros, TaskId};
 use attempt::{AttemptState, TaskAttempt};
 use cancellation_log::CancellationLog;
 use cancellations::Cancellations;
@@ -41,6 +42,8 @@
     dependency_graph: DependencyGraph,
     /// Jobs that are cancelled because a dependency was cancelled and whose own outcome is not in the replica yet.
     cascaded: BTreeSet<JobId>,
+    /// Jobs with tasks that are lent to other shards, or are about to be.
+    lent: BTreeSet<JobId>,
     pub(crate) cancellations: Cancellations,
     pub(crate) cancellation_log: CancellationLog,
 }
@@ -130,12 +133,35 @@
         }
     }
 
+    /// Iterates over the jobs with tasks that are lent to other shards, or are about to be.
+    pub(crate) fn lent_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.lent.iter().filter_map(|id| self.by_id.get(id))
+    }
+
+    /// Updates whether a job counts as lent.
+    pub(crate) fn update_lent(&mut self, id: &JobId) {
+        match self.by_id.get(id).is_some_and(|job| job.has_lent_tasks() || job.scheduling.is_lending) {
+            true => self.lent.insert(id.clone()),
+            false => self.lent.remove(id),
+        };
+    }
+
+    /// Updates since when the tasks of each job wait: those of these jobs wait now.
+    pub(crate) fn update_waiting_since(&mut self, waiting: &BTreeSet<JobId>, now: Micros) {
+        for (id, job) in &mut self.by_id {
+            let since = job.scheduling.waiting_since;
+            job.scheduling.waiting_since = waiting.contains(id).then_some(since.unwrap_or(now));
+        }
+    }
+
     fn insert(&mut self, id: &JobId, job: Job) {
         self.by_id.insert(id.clone(), job);
+        self.update_lent(id);
     }
 
     fn remove(&mut self, id: &JobId) {
         self.by_id.remove(id);
+        self.lent.remove(id);
         self.usage.mark_unchanged(id);
     }
 }
--- a/src/coordination/jobs/progress.rs
+++ b/src/coordination/jobs/progress.rs
@@ -31,19 +31,27 @@
         tasks - self.first_unstarted.min(tasks) + self.to_restart.len() as u32
     }
 
+    /// Returns how many tasks of a range wait for an attempt, of a job with this number of tasks.
+    pub fn waiting_in(&self, tasks: u32, range: Range<u32>) -> u32 {
+        let unstarted = range.end.min(tasks).saturating_sub(range.start.max(self.first_unstarted));
+        unstarted + self.to_restart.range(range).count() as u32
+    }
+
     /// Whether any task is known to be done, recorded or not.
     pub fn has_completions(&self) -> bool {
         self.done_count > 0 || !self.unrecorded_done.is_empty()
     }
 
-    /// Returns the next task that may start now; tasks that have failed come after all others. `has_space` returns
-    /// whether a chunk of the stored records has space for one more attempt.
+    /// Returns the next task that may start now; tasks that have failed come after all others. `first_in_shard` returns
+    /// the first task of a range that the shard schedules, `has_space` whether a chunk of the stored records has space
+    /// for one more attempt.
     pub fn next_task(
         &self,
         tasks: u32,
         failures: &FailureHistory,
         now: Micros,
         chunk_tasks: u32,
+        first_in_shard: impl Fn(Range<u32>) -> Option<u32>,
         has_space: impl Fn(u32) -> bool,
     ) -> Option<u32> {
         // The last chunk that was found full, so that it is not checked again for each of its tasks.
@@ -60,22 +68,32 @@
         let may_retry = |task: &u32| self.retry_at.get(task).is_none_or(|at| *at <= now);
         let mut next_restart = |has_failed: bool| {
             let tasks = self.to_restart.iter().copied().filter(|task| failures.has_failed(*task) == has_failed);
-            tasks.filter(may_retry).find(|task| fits(*task))
+            let is_in_shard = |task: &u32| first_in_shard(*task..*task + 1).is_some();
+            tasks.filter(may_retry).filter(is_in_shard).find(|task| fits(*task))
         };
         next_restart(false)
-            .or_else(|| self.next_unstarted(tasks, chunk_tasks, &has_space))
+            .or_else(|| self.next_unstarted(tasks, chunk_tasks, &first_in_shard, &has_space))
             .or_else(|| next_restart(true))
     }
 
     /// Returns the next task that never had an attempt. Tasks of full chunks are skipped; [`Self::mark_task_started`]
     /// adds them to `to_restart`.
-    fn next_unstarted(&self, tasks: u32, chunk_tasks: u32, has_space: impl Fn(u32) -> bool) -> Option<u32> {
+    fn next_unstarted(
+        &self,
+        tasks: u32,
+        chunk_tasks: u32,
+        first_in_shard: impl Fn(Range<u32>) -> Option<u32>,
+        has_space: impl Fn(u32) -> bool,
+    ) -> Option<u32> {
         if self.first_unstarted >= tasks {
             return None;
         }
         let mut chunks = self.first_unstarted / chunk_tasks..tasks.div_ceil(chunk_tasks);
-        let chunk = chunks.find(|chunk| has_space(*chunk))?;
-        Some(self.first_unstarted.max(chunk * chunk_tasks))
+        chunks.find_map(|chunk| {
+            let first = self.first_unstarted.max(chunk * chunk_tasks);
+            let end = (chunk + 1).saturating_mul(chunk_tasks).min(tasks);
+            first_in_shard(first..end).filter(|_| has_space(chunk))
+        })
     }
 
     /// Marks a task that has an attempt now.
--- a/src/coordination/jobs/reconciliation.rs
+++ b/src/coordination/jobs/reconciliation.rs
@@ -183,7 +183,8 @@
         }
         let Some(known) = self.store.replica.jobs.get(id) else { return false };
         let shard = self.shard_of(known.record.spec.team.as_deref(), id);
-        let job = Job::new(id, &known.record, shard);
+        let mut job = Job::new(id, &known.record, shard);
+        job.set_loans(self.store.replica.job_loans.get(id).map(|stored| &stored.value), self.shard_count());
         if known.record.spec.priority > Priority::Normal {
             self.scheduling.request_urgent_cycle();
         }
@@ -249,10 +250,10 @@
 
     /// Resets the jobs of a shard that was acquired or lost, as the states of their attempts are no longer valid.
     pub(crate) fn reset_shard_jobs(&mut self, shard: u32) {
-        for job in self.jobs.by_id.values_mut().filter(|job| job.shard == shard) {
+        for job in self.jobs.by_id.values_mut().filter(|job| job.is_in_shard(shard)) {
             job.reset_attempts(&mut self.jobs.usage);
         }
-        let in_shard = self.jobs.iter().filter(|(_, job)| job.shard == shard);
+        let in_shard = self.jobs.iter().filter(|(_, job)| job.is_in_shard(shard));
         let ids: Vec<JobId> = in_shard.map(|(id, _)| id.clone()).collect();
         for id in &ids {
             self.jobs.usage.mark_changed(id);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -154,6 +154,7 @@
         self.tick_machine_types();
         self.tick_leader();
         self.write_cascaded_cancellations();
+        self.lend_waiting_tasks();
         self.log_open_cancellations();
         self.scheduling.request_cycle();
     }
@@ -201,6 +202,7 @@
                 }
                 Change::Machines(ids) => ids.iter().for_each(|id| self.machine_record_changed(id)),
                 Change::Jobs(ids) => ids.iter().for_each(|id| self.reconcile_job(id)),
+                Change::JobLoans(id) => self.job_loans_changed(&id),
                 Change::RunChunk(id, chunk) => self.reconcile_chunk(&id, chunk),
                 Change::Outcome(id) => {
                     self.reconcile_job(&id);
--- a/src/coordination/scheduling/cross_shard_preemption.rs
+++ b/src/coordination/scheduling/cross_shard_preemption.rs
@@ -77,12 +77,9 @@
     /// lowest priority, and more urgent work waits in that shard.
     pub(crate) fn should_drain_for(&self, id: &MachineId, to_shard: u32) -> bool {
         let urgent_work_waits = || {
-            self.jobs.values().any(|job| {
-                job.shard == to_shard
-                    && job.spec.priority > Priority::Low
-                    && job.waiting_count() > 0
-                    && !job.is_failing()
-            })
+            self.jobs
+                .values()
+                .any(|job| job.spec.priority > Priority::Low && job.waiting_count_in(to_shard) > 0 && !job.is_failing())
         };
         self.runs_only_lowest_priority(id) && urgent_work_waits()
     }
--- a/src/coordination/scheduling/cycle.rs
+++ b/src/coordination/scheduling/cycle.rs
@@ -33,22 +33,23 @@
     /// Starts the tasks of a job that can be placed. `views` caches the views of shards used so far in this round.
     fn schedule_job(&mut self, id: &JobId, views: &mut HashMap<u32, ShardView>) {
         let Some(job) = self.jobs.get(id) else { return };
-        let shard = job.shard;
         if job.outcome.is_some() || self.now() < job.recording.rejected_until || !self.can_be_scheduled(job) {
             return;
         }
         let is_gang = job.spec.kind == JobKind::Gang;
-        let mut view = views.remove(&shard).unwrap_or_else(|| self.shard_view(shard));
-        if is_gang {
-            self.schedule_gang(id, &mut view);
-        } else {
-            self.schedule_tasks(id, &mut view);
+        for shard in self.held_shards_of(id) {
+            let mut view = views.remove(&shard).unwrap_or_else(|| self.shard_view(shard));
+            if is_gang {
+                self.schedule_gang(id, shard, &mut view);
+            } else {
+                self.schedule_tasks(id, shard, &mut view);
+            }
+            views.insert(shard, view);
         }
-        views.insert(shard, view);
     }
 
-    /// Starts as many tasks of a job as can be placed.
-    fn schedule_tasks(&mut self, id: &JobId, view: &mut ShardView) {
+    /// Starts as many of a job's tasks in a shard as can be placed.
+    fn schedule_tasks(&mut self, id: &JobId, shard: u32, view: &mut ShardView) {
         let now = self.now();
         let Some(job) = self.jobs.get(id) else { return };
         // An array scheduled early because it is overdue or starved starts only one task out of order.
@@ -62,16 +63,17 @@
             if !job.may_start(now) {
                 return;
             }
-            let next = job.next_task(now, self.store.tasks_per_chunk(), |chunk| self.chunk_has_space(id, job, chunk));
+            let has_space = |chunk| self.chunk_has_space(id, job, chunk);
+            let next = job.next_task(shard, now, self.store.tasks_per_chunk(), has_space);
             let Some(task) = next else {
                 self.mark_blocked_by_full_chunks(id);
                 return;
             };
-            if !self.is_within_quota(job) {
+            if !self.is_within_quota(job, shard) {
                 return;
             }
             let Some(chosen) = self.best_candidate(job, &candidates) else {
-                self.preempt_for(id, &view.machines);
+                self.preempt_for(id, shard, &view.machines);
                 return;
             };
             self.start_task(id, task, view, candidates.machine_index(chosen));
@@ -119,7 +121,7 @@
     }
 
     /// Starts all tasks of a gang in one cycle or none: step 6 of the design.
-    fn schedule_gang(&mut self, id: &JobId, view: &mut ShardView) {
+    fn schedule_gang(&mut self, id: &JobId, shard: u32, view: &mut ShardView) {
         let Some(job) = self.jobs.get(id) else { return };
         let all_wait = job.attempts.is_empty() && job.waiting_count() >= job.spec.tasks;
         if !all_wait || !job.may_start(self.now()) {
@@ -138,7 +140,7 @@
                 }
             }
         }
-        self.preempt_for(id, &view.machines);
+        self.preempt_for(id, shard, &view.machines);
     }
 
     /// Starts all tasks of a gang. If one can't be placed, withdraws the others and restores the view. Returns whether
@@ -170,7 +172,7 @@
         candidates: &mut Candidates,
         filter: PlacementFilter,
     ) -> bool {
-        let Some(job) = self.jobs.get(id).filter(|job| self.is_within_quota(job)) else { return false };
+        let Some(job) = self.jobs.get(id).filter(|job| self.is_within_quota(job, job.shard)) else { return false };
         let Some(chosen) = self.best_candidate(job, candidates) else { return false };
         self.start_task(id, task, view, candidates.machine_index(chosen));
         self.update_candidates(id, view, candidates, chosen, filter);
--- a/src/coordination/scheduling/job_order.rs
+++ b/src/coordination/scheduling/job_order.rs
@@ -57,10 +57,16 @@
         job.progress.first_unstarted == 0 && self.clock.wall.since(job.ready_at) >= max_wait
     }
 
-    /// Returns whether a job's shard is held by this controller and the job has a record that no transaction in flight
-    /// changes.
+    /// Returns whether tasks of a job wait in a shard held by this controller, and the job has a record that no
+    /// transaction in flight changes.
     pub(super) fn can_be_scheduled(&self, job: &Job) -> bool {
-        job.recording.has_record && !job.recording.is_txn_in_flight && self.holds(Role::Shard(job.shard))
+        job.recording.has_record && !job.recording.is_txn_in_flight && self.has_tasks_waiting_here(job)
+    }
+
+    /// Returns whether tasks of a job wait in a shard held by this controller.
+    pub(super) fn has_tasks_waiting_here(&self, job: &Job) -> bool {
+        job.waiting_count() > 0
+            && job.shards().any(|shard| self.holds(Role::Shard(shard)) && job.waiting_count_in(shard) > 0)
     }
 
     fn ordering_key(&self, id: &JobId, job: &Job) -> OrderingKey {
@@ -77,7 +83,7 @@
     /// Returns the jobs with waiting tasks in the shards held by this controller, in order of [`OrderingKey`], or in
     /// order of restoration after the loss of a zone.
     pub(super) fn jobs_in_scheduling_order(&self) -> Vec<JobId> {
-        let waiting = self.jobs.iter().filter(|(_, job)| job.waiting_count() > 0 && self.can_be_scheduled(job));
+        let waiting = self.jobs.iter().filter(|(_, job)| self.can_be_scheduled(job));
         let mut keys: Vec<OrderingKey> = waiting.map(|(id, job)| self.ordering_key(id, job)).collect();
         keys.sort();
         let ordered: Vec<JobId> = keys.into_iter().map(|key| key.id).collect();
--- a/src/coordination/scheduling/mod.rs
+++ b/src/coordination/scheduling/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod cycle;
 pub(crate) mod fetch_limits;
 pub(crate) mod job_order;
+pub(crate) mod lending;
 pub mod placement;
 pub(crate) mod placement_rules;
 pub(crate) mod preemption;
@@ -30,6 +31,8 @@
     cycle_started_at: Micros,
     is_cycle_requested: bool,
     is_urgent_cycle_requested: bool,
+    /// Time of the next search for tasks to be lent.
+    next_lending_at: Micros,
 }
 
 impl Scheduling {
--- a/src/coordination/scheduling/preemption.rs
+++ b/src/coordination/scheduling/preemption.rs
@@ -38,15 +38,15 @@
 }
 
 impl Controller {
-    /// Preempts tasks of lower priority on machines where that frees capacity for waiting tasks of a job, in order of
-    /// cost.
-    pub(super) fn preempt_for(&mut self, id: &JobId, machines: &[CandidateMachine]) {
+    /// Preempts tasks of lower priority on machines of a shard where that frees capacity for a job's tasks that wait in
+    /// the shard, in order of cost.
+    pub(super) fn preempt_for(&mut self, id: &JobId, shard: u32, machines: &[CandidateMachine]) {
         let now = self.now();
         let Some(job) = self.jobs.get(id) else { return };
         if now < job.scheduling.next_preemption_at || job.spec.kind == JobKind::Gang || !self.may_preempt(job) {
             return;
         }
-        let victims = self.choose_victims(id, job, machines);
+        let victims = self.choose_victims(id, job, shard, machines);
         // Normal work pauses even if no victim was found: with hundreds of jobs waiting the search takes most of a
         // round.
         let should_pause = !victims.is_empty() || job.spec.priority == Priority::Normal;
@@ -63,7 +63,7 @@
 
     /// Returns the victims on as many machines as the job has waiting tasks, less those for which earlier preemptions
     /// are already freeing capacity.
-    fn choose_victims(&self, id: &JobId, job: &Job, machines: &[CandidateMachine]) -> Vec<Victim> {
+    fn choose_victims(&self, id: &JobId, job: &Job, shard: u32, machines: &[CandidateMachine]) -> Vec<Victim> {
         let mut rules = self.placement_rules(job, None);
         let mut options: Vec<MachinePreemption> = machines
             .iter()
@@ -72,7 +72,7 @@
             .collect();
         options.sort_by_key(|option| (option.cost, option.machine.free.cpus));
         // Tasks that write a checkpoint before they stop may still occupy capacity that is being freed for this job.
-        let mut wanted = job.waiting_count().saturating_sub(self.machines_being_freed_for(job, machines));
+        let mut wanted = job.waiting_count_in(shard).saturating_sub(self.machines_being_freed_for(job, machines));
         let mut chosen = Vec::new();
         for MachinePreemption { machine, victims, .. } in options {
             if wanted == 0 {
--- a/src/coordination/scheduling/quota.rs
+++ b/src/coordination/scheduling/quota.rs
@@ -44,10 +44,27 @@
         self.jobs.usage().used_by(&team.name).plus(&job.resources)
     }
 
-    /// Returns whether one more task of a job stays within its team's quota.
-    pub(super) fn is_within_quota(&self, job: &Job) -> bool {
-        let Some(team) = self.team_of(job) else { return true };
-        TeamQuota::of_team(team).admits(&self.usage_with_next_task(job, team))
+    /// Returns whether one more task of a job in a shard stays within its team's quota. The holder of the team's shard
+    /// enforces the quota; it has reserved the resources of the tasks that it has lent.
+    pub(super) fn is_within_quota(&self, job: &Job, shard: u32) -> bool {
+        let Some(team) = self.team_of(job).filter(|_| shard == job.home_shard) else { return true };
+        let used = self.usage_with_next_task(job, team).plus(&self.reserved_for_lent_tasks(&team.name));
+        TeamQuota::of_team(team).admits(&used)
+    }
+
+    /// Returns how many waiting tasks of a job may be lent within its team's quota.
+    pub(super) fn lendable_tasks_within_quota(&self, job: &Job) -> u64 {
+        let Some(team) = self.team_of(job) else { return u64::MAX };
+        let used = self.jobs.usage().used_by(&team.name).plus(&self.reserved_for_lent_tasks(&team.name));
+        TeamQuota::of_team(team).remaining_tasks(&used, &job.resources)
+    }
+
+    /// Returns the resources of a team's tasks that are lent and have no attempt: other shards may start them at any
+    /// time.
+    fn reserved_for_lent_tasks(&self, team: &str) -> Resources {
+        let of_team = self.jobs.lent_jobs().filter(|job| job.spec.team.as_deref() == Some(team));
+        let reserved = of_team.map(|job| job.resources.times(u64::from(job.lent_waiting_count())));
+        reserved.fold(Resources::default(), |sum, resources| sum.plus(&resources))
     }
 
     /// Returns whether one more task of a job stays within its team's guaranteed quota. A job without a team has none.
--- a/src/coordination/scheduling/service_consolidation.rs
+++ b/src/coordination/scheduling/service_consolidation.rs
@@ -53,11 +53,10 @@
 
     fn has_urgent_tasks_waiting(&self, shard: u32) -> bool {
         self.jobs.values().any(|job| {
-            job.shard == shard
-                && job.spec.priority > Priority::Normal
-                && job.waiting_count() > 0
+            job.spec.priority > Priority::Normal
+                && job.waiting_count_in(shard) > 0
                 && !job.is_failing()
-                && self.is_within_quota(job)
+                && self.is_within_quota(job, shard)
         })
     }
 
--- a/src/coordination/store_sync/garbage_collection.rs
+++ b/src/coordination/store_sync/garbage_collection.rs
@@ -56,6 +56,12 @@
     finished.map(|(name, _)| Key::JobBatch(name.clone()))
 }
 
+/// Returns the keys of the loans of jobs that have an outcome and no run chunks left.
+fn loans_of_finished_jobs(replica: &Replica) -> impl Iterator<Item = Key> {
+    let is_finished = |id: &&JobId| replica.outcomes.contains_key(*id) && !replica.run_chunks.contains_key(*id);
+    replica.job_loans.keys().filter(is_finished).map(|id| Key::JobLoans(id.clone()))
+}
+
 /// Returns the keys of machine batches whose machines are all deleted.
 fn deleted_machine_batches(replica: &Replica) -> impl Iterator<Item = Key> {
     let batches = replica.machine_batches.iter();
@@ -65,7 +71,7 @@
 
 impl Controller {
     /// Deletes a few records, on the leader only: batches whose jobs have finished or whose machines are deleted,
-    /// records of deleted machines, and dependency lists that no job names.
+    /// records of deleted machines, loans of finished jobs, and dependency lists that no job names.
     pub(crate) fn collect_garbage(&mut self) {
         let now = self.now();
         let is_pending = self.store.txns.has_purpose(&TxnPurpose::GarbageCollection);
@@ -99,6 +105,7 @@
         finished_job_batches(replica)
             .chain(deleted_machine_batches(replica))
             .chain(machines)
+            .chain(loans_of_finished_jobs(replica))
             .chain(self.store.garbage_collection.unreferenced_list_parts(replica, self.now()))
     }
 }
--- a/src/coordination/store_sync/job_records/chunk_changes.rs
+++ b/src/coordination/store_sync/job_records/chunk_changes.rs
@@ -38,6 +38,8 @@
     tasks_per_chunk: u32,
     limits: TxnLimits,
     guard: MachineGuard,
+    /// The job's shards that this controller holds.
+    held_shards: Vec<u32>,
     chunks: BTreeMap<u32, RunChunk>,
     /// Machines on which attempts were added, by chunk.
     machines: BTreeMap<u32, BTreeSet<MachineId>>,
@@ -51,9 +53,20 @@
         tasks_per_chunk: u32,
         limits: TxnLimits,
         guard: MachineGuard,
+        held_shards: Vec<u32>,
     ) -> ChunkChanges<'a> {
         let (chunks, machines) = (BTreeMap::new(), BTreeMap::new());
-        ChunkChanges { stored, tasks_per_chunk, limits, guard, chunks, machines, is_incomplete: false }
+        ChunkChanges { stored, tasks_per_chunk, limits, guard, held_shards, chunks, machines, is_incomplete: false }
+    }
+
+    /// Returns the job's shards that this controller holds.
+    pub(super) fn held_shards(&self) -> &[u32] {
+        &self.held_shards
+    }
+
+    /// Returns whether this controller holds a shard of the job.
+    pub(super) fn holds(&self, shard: u32) -> bool {
+        self.held_shards.contains(&shard)
     }
 
     /// Returns whether a change did not fit and has to go into another transaction.
@@ -66,11 +79,11 @@
         self.stored.values().map(|chunk| chunk.value.last_attempt).max().unwrap_or(0)
     }
 
-    /// Returns the number of preconditions other than machine records: the shard's role, the outcome, each chunk, and
-    /// the leader's role if that is the guard.
+    /// Returns the number of preconditions other than machine records: the roles of the held shards, the outcome, each
+    /// chunk, and the leader's role if that is the guard.
     fn precondition_count(&self) -> usize {
-        let role_count = if self.guard == MachineGuard::Leadership { 2 } else { 1 };
-        role_count + 1 + self.chunks.len()
+        let leader_count = usize::from(self.guard == MachineGuard::Leadership);
+        self.held_shards.len() + leader_count + 1 + self.chunks.len()
     }
 
     fn machine_count(&self) -> usize {
--- a/src/coordination/store_sync/job_records/job_changes.rs
+++ b/src/coordination/store_sync/job_records/job_changes.rs
@@ -29,15 +29,16 @@
 }
 
 impl Job {
-    /// Returns the tasks whose records are out of date. While other tasks of the job are pressing, chunks that lack
+    /// Returns the tasks of the held shards whose records are out of date. While other tasks of the job are pressing, chunks that lack
     /// nothing but done tasks are left out until `max_progress_delay` has passed.
     pub(super) fn tasks_to_record(
         &mut self,
+        held_shards: &[u32],
         now: Micros,
         tasks_per_chunk: u32,
         max_progress_delay: Micros,
     ) -> Vec<u32> {
-        let is_nothing_pressing = match MissingRecord::of(self) {
+        let is_nothing_pressing = match MissingRecord::of(self, held_shards) {
             None | Some(MissingRecord::Outcome | MissingRecord::ChunkSpace | MissingRecord::Progress) => true,
             Some(MissingRecord::UrgentAttempt | MissingRecord::BatchAttempt) => false,
         };
@@ -48,13 +49,13 @@
             self.scheduling.is_blocked_by_full_chunks = false;
         }
         let is_pressing = |attempt: &TaskAttempt| attempt.state() == AttemptState::Decided || is_lost(attempt);
-        let pressing = self.attempts.iter().filter(|(_, attempt)| is_pressing(attempt));
+        let pressing = self.attempts_in(held_shards).filter(|(_, attempt)| is_pressing(attempt));
         let pressing_chunks: BTreeSet<u32> = pressing.map(|(task, _)| task / tasks_per_chunk).collect();
         let is_due = |task: u32, attempt: &TaskAttempt| {
             is_pressing(attempt)
                 || (!attempt.occupies_resources() && (take_all || pressing_chunks.contains(&(task / tasks_per_chunk))))
         };
-        self.attempts.iter().filter(|(task, attempt)| is_due(*task, attempt)).map(|(task, _)| task).collect()
+        self.attempts_in(held_shards).filter(|(task, attempt)| is_due(*task, attempt)).map(|(task, _)| task).collect()
     }
 
     /// Adds the changes to be recorded for these tasks. Returns the tasks whose attempts can't be recorded, because the
@@ -69,6 +70,7 @@
             if !changes.admits_task(task) {
                 continue;
             }
+            let shard = self.shard_of_task(task);
             let Some(attempt) = self.attempts.get_mut(task) else { continue };
             if attempt.state() != AttemptState::Decided {
                 changes
@@ -76,9 +78,9 @@
                 continue;
             }
             let machine = replica.machines.get(attempt.machine());
-            let is_usable = machine.is_some_and(|m| m.value.cordon.is_none() && m.value.shard == self.shard);
-            if !is_usable || is_gang_lost || self.outcome.is_some() || !changes.admits_attempt(task, attempt.machine())
-            {
+            let is_usable = machine.is_some_and(|m| m.value.cordon.is_none() && m.value.shard == shard);
+            let is_wanted = is_usable && changes.holds(shard) && !is_gang_lost && self.outcome.is_none();
+            if !is_wanted || !changes.admits_attempt(task, attempt.machine()) {
                 dropped.push(task);
                 continue;
             }
@@ -109,8 +111,8 @@
     }
 }
 
-/// Returns the transaction that brings one job's records up to date, with the shard's role as a precondition. It has no
-/// writes if nothing may be written now.
+/// Returns the transaction that brings one job's records up to date, with the roles of the job's shards that this
+/// controller holds as preconditions. It has no writes if nothing may be written now.
 pub(super) fn propose_changes(
     id: &JobId,
     job: &mut Job,
@@ -120,7 +122,9 @@
     now: Micros,
 ) -> ProposedTxn {
     let mut proposal = ProposedTxn::default();
-    proposal.unchanged(replica, Key::Role(Role::Shard(job.shard)));
+    for shard in changes.held_shards() {
+        proposal.unchanged(replica, Key::Role(Role::Shard(*shard)));
+    }
     if job.outcome.is_none() {
         proposal.unchanged(replica, Key::Outcome(id.clone()));
     }
--- a/src/coordination/store_sync/job_records/missing_record.rs
+++ b/src/coordination/store_sync/job_records/missing_record.rs
@@ -24,24 +24,26 @@
 }
 
 impl MissingRecord {
-    /// Returns the most pressing change missing from a job's records, or `None` if they are complete.
-    pub(super) fn of(job: &Job) -> Option<MissingRecord> {
+    /// Returns the most pressing change missing from a job's records that the holder of these shards makes, or `None` if
+    /// they are complete. What it knows of tasks in other shards proves nothing about whether they are done.
+    pub(super) fn of(job: &Job, held_shards: &[u32]) -> Option<MissingRecord> {
         if is_outcome_missing(job) {
             return Some(MissingRecord::Outcome);
         }
         // Done tasks are not pressing in any job. If they counted as urgent, they would be examined in vain in every
         // round.
-        if job.attempts.decided_count() > 0 || (job.attempts.settled_count() > 0 && job.attempts.values().any(is_lost))
-        {
+        let settled_count = job.settled_count_in(held_shards);
+        let has_lost = || job.attempts_in(held_shards).any(|(_, attempt)| is_lost(attempt));
+        if job.attempts.decided_count() > 0 || (settled_count > 0 && has_lost()) {
             return Some(match job.is_urgent() {
                 true => MissingRecord::UrgentAttempt,
                 false => MissingRecord::BatchAttempt,
             });
         }
-        if job.scheduling.is_blocked_by_full_chunks && job.attempts.settled_count() > 0 && job.waiting_count() > 0 {
+        if job.scheduling.is_blocked_by_full_chunks && settled_count > 0 && job.waiting_count() > 0 {
             return Some(MissingRecord::ChunkSpace);
         }
-        (job.attempts.settled_count() > 0 || job.recording.first_unrecorded_change_at == Some(Micros::ZERO))
+        (settled_count > 0 || job.recording.first_unrecorded_change_at == Some(Micros::ZERO))
             .then_some(MissingRecord::Progress)
     }
 
@@ -138,11 +140,11 @@
 }
 
 impl RecordStatus {
-    /// Evaluates a job's records. `is_own` says whether this controller writes them.
+    /// Evaluates a job's records. `held_shards` are the shards of the job for which this controller writes them.
     pub(super) fn of(
         id: &JobId,
         job: &mut Job,
-        is_own: bool,
+        held_shards: &[u32],
         now: Micros,
         is_budget_idle: bool,
         policy: &Policy,
@@ -151,7 +153,7 @@
         if job.recording.is_txn_in_flight || now < retry_at {
             return RecordStatus::Waiting;
         }
-        let Some(missing) = MissingRecord::of(job).filter(|_| is_own) else {
+        let Some(missing) = MissingRecord::of(job, held_shards).filter(|_| !held_shards.is_empty()) else {
             return RecordStatus::Complete;
         };
         let since = *job.recording.first_unrecorded_change_at.get_or_insert(now);
--- a/src/coordination/store_sync/job_records/mod.rs
+++ b/src/coordination/store_sync/job_records/mod.rs
@@ -1,6 +1,6 @@
 //! Recording of job state: attempts before their commands are sent, done and lost tasks, and outcomes.
 //!
-//! An attempt is recorded under the preconditions that this controller still holds the job's shard, that the job has no
+//! An attempt is recorded under the preconditions that this controller still holds the task's shard, that the job has no
 //! outcome, that its run chunk is the same as in the replica, and that its machine can't have left the shard meanwhile.
 
 mod chunk_changes;
@@ -11,6 +11,7 @@
 
 use crate::coordination::Controller;
 use crate::coordination::control::versions::leader_delegates_moves;
+use crate::coordination::jobs::job::Job;
 use crate::coordination::store_sync::txn_limits::TxnLimits;
 use crate::coordination::store_sync::{ProposedTxn, TxnPurpose};
 use crate::storage::schema::Role;
@@ -55,11 +56,12 @@
                 complete.push(id.clone());
                 continue;
             };
-            // The records of other jobs are written by their shard's holder; all are examined again when the shard is
-            // acquired. Jobs cancelled by a cascade have no records of their own except the outcome, which is written
+            // The records of other jobs are written by the holders of their shards; all are examined again when a shard
+            // is acquired. Jobs cancelled by a cascade have no records of their own except the outcome, which is written
             // together with those of other jobs.
-            let is_own = !is_cascaded && self.control.holds(Role::Shard(job.shard));
-            match RecordStatus::of(id, job, is_own, now, is_budget_idle, &self.policy) {
+            let is_held = |shard: &u32| !is_cascaded && self.control.holds(Role::Shard(*shard));
+            let held_shards: Vec<u32> = job.shards().filter(is_held).collect();
+            match RecordStatus::of(id, job, &held_shards, now, is_budget_idle, &self.policy) {
                 RecordStatus::Complete => complete.push(id.clone()),
                 RecordStatus::Waiting => {}
                 RecordStatus::Due(record) => due.push(record),
@@ -83,7 +85,8 @@
         let mut batch = RecordBatch::default();
         while due.front().is_some_and(|next| next.shard == shard) {
             let Some(DueRecord { id, .. }) = due.pop_front() else { break };
-            let missing = self.jobs.get(&id).and_then(MissingRecord::of);
+            let held_shards = self.held_shards_of(&id);
+            let missing = self.jobs.get(&id).and_then(|job| MissingRecord::of(job, &held_shards));
             let part = self.propose_job_records(&id, limits);
             let purpose = missing.map_or("nothing", MissingRecord::name);
             self.store.write_budget.count_writes(purpose, part.write_count());
@@ -131,6 +134,12 @@
         }
     }
 
+    /// Returns the shards held by this controller that schedule tasks of a job.
+    pub(crate) fn held_shards_of(&self, id: &JobId) -> Vec<u32> {
+        let shards = self.jobs.get(id).into_iter().flat_map(Job::shards);
+        shards.filter(|shard| self.holds(Role::Shard(*shard))).collect()
+    }
+
     /// Returns the part of a transaction that brings one job's records up to date. The job's records are locked until
     /// the transaction has ended.
     fn propose_job_records(&mut self, id: &JobId, limits: TxnLimits) -> ProposedTxn {
@@ -139,6 +148,7 @@
         let max_progress_delay = Micros::from_millis(self.policy.progress_patience_ms);
         let guard = self.machine_guard();
         let tasks_per_chunk = self.store.tasks_per_chunk;
+        let held_shards = self.held_shards_of(id);
         let replica = &self.store.replica;
         let Some(job) = self.jobs.get_mut(id) else { return ProposedTxn::default() };
         job.recording.is_txn_in_flight = true;
@@ -146,8 +156,8 @@
         job.recording.first_unrecorded_change_at = None;
         let none = BTreeMap::new();
         let stored = replica.run_chunks.get(id).unwrap_or(&none);
-        let mut changes = ChunkChanges::new(stored, tasks_per_chunk, limits, guard);
-        let tasks = job.tasks_to_record(now, tasks_per_chunk, max_progress_delay);
+        let mut changes = ChunkChanges::new(stored, tasks_per_chunk, limits, guard, held_shards);
+        let tasks = job.tasks_to_record(changes.held_shards(), now, tasks_per_chunk, max_progress_delay);
         for task in job.change_chunks(tasks, replica, &mut changes) {
             self.jobs.withdraw_attempt(id, task);
         }
--- a/src/coordination/zones/evacuation.rs
+++ b/src/coordination/zones/evacuation.rs
@@ -196,8 +196,9 @@
     }
 
     fn waiting_services(&self, shard: u32) -> ReplicaCounts {
-        let waits = |job: &&Job| job.shard == shard && job.spec.kind == JobKind::Service && job.waiting_count() > 0;
-        self.jobs.values().filter(waits).map(|job| (job.attempts.job().clone(), job.waiting_count())).collect()
+        let waits = |job: &&Job| job.spec.kind == JobKind::Service && job.waiting_count_in(shard) > 0;
+        let waiting = self.jobs.values().filter(waits);
+        waiting.map(|job| (job.attempts.job().clone(), job.waiting_count_in(shard))).collect()
     }
 
     /// Returns the machines of a shard in lost zones that run services and are not being deleted yet.
--- a/src/settings/policy.rs
+++ b/src/settings/policy.rs
@@ -47,7 +47,7 @@
 policy! {
     /// Version of the rules for stored records that this controller follows and announces. A lower version allows a
     /// stepwise rollback to an earlier release.
-    record_version: u32 = 1, 0, 1;
+    record_version: u32 = 2, 0, 2;
     /// How long a controller's lease in the store lasts after its last renewal.
     session_ms: u64 = 3000, 500, 60000;
     /// Delay before a controller takes over a vacant shard, for each controller that precedes it in the shard's order
@@ -193,6 +193,8 @@
     /// Time after which waiting batch work whose backlog doesn't justify new machines gets idle machines of other
     /// shards.
     shift_waiting_ms: u64 = 30000, 0, 86400000;
+    /// Time after which waiting tasks that find no room in their shard are lent to shards with room for them.
+    lend_after_ms: u64 = 20000, 0, 86400000;
     /// Maximum number of machines that move between shards at a time, as a fraction of the writes allowed per second.
     shift_part: f64 = 0.2, 0.0, 10.0;
     /// Scale out: machines are requested if the existing ones need longer than this for the backlog of batch work.
--- a/src/storage/replica/apply.rs
+++ b/src/storage/replica/apply.rs
@@ -82,6 +82,10 @@
                 set_entry(&mut self.zone_cordons, zone.clone(), value.map(from_value), version);
                 Change::ZoneCordon(zone)
             }
+            Key::JobLoans(id) => {
+                set_entry(&mut self.job_loans, id.clone(), value.and_then(from_value), version);
+                Change::JobLoans(id)
+            }
             Key::Outcome(id) => self.apply_outcome(id, value, version),
         }
     }
--- a/src/storage/replica/mod.rs
+++ b/src/storage/replica/mod.rs
@@ -5,7 +5,7 @@
 
 use super::schema::{
     ControllerRecord, CordonReason, JobRecord, Key, MachineBatchMember, MachineRecord, OutcomeRecord, Role, RoleRecord,
-    RunChunk, ZoneCordonRecord,
+    RunChunk, TaskLoans, ZoneCordonRecord,
 };
 use crate::types::{FencingToken, JobId, MachineId, Revision};
 use burlhatch_zones::ZoneRecord;
@@ -33,6 +33,8 @@
     Jobs(Vec<JobId>),
     /// A run chunk of a job has changed.
     RunChunk(JobId, u32),
+    /// The loans of a job's tasks have changed.
+    JobLoans(JobId),
     /// A job's outcome was written.
     Outcome(JobId),
     /// The condition of a zone as evaluated by a shard's holder has changed.
@@ -81,6 +83,8 @@
     pub job_batches: BTreeMap<String, Versioned<Vec<JobId>>>,
     /// Task attempts and progress of each job, by chunk.
     pub run_chunks: HashMap<JobId, BTreeMap<u32, Versioned<RunChunk>>>,
+    /// Tasks that other shards than their job's own schedule, by job.
+    pub job_loans: BTreeMap<JobId, Versioned<TaskLoans>>,
     /// Outcomes of jobs, which are never deleted.
     pub outcomes: HashMap<JobId, Versioned<OutcomeRecord>>,
     /// Dependency lists stored outside the job batches, by name.
@@ -108,6 +112,7 @@
             Key::RunChunk(id, chunk) => {
                 self.run_chunks.get(id).and_then(|chunks| chunks.get(chunk)).map(|stored| stored.version)
             }
+            Key::JobLoans(id) => self.job_loans.get(id).map(|stored| stored.version),
             Key::Outcome(id) => self.outcomes.get(id).map(|stored| stored.version),
             Key::DependencyListPart(name, number) => {
                 self.dependency_list_parts.get(name).and_then(|parts| parts.get(number)).map(|stored| stored.version)
--- a/src/storage/schema/keys.rs
+++ b/src/storage/schema/keys.rs
@@ -25,6 +25,9 @@
     JobBatch(String),
     /// Task attempts and progress of one chunk of a job's tasks, by the chunk's number.
     RunChunk(JobId, u32),
+    /// The tasks of a job that other shards than its own schedule. Controllers whose version does not lend tasks ignore
+    /// it.
+    JobLoans(JobId),
     /// The outcome of a job.
     Outcome(JobId),
     /// A part of a dependency list, by the list's name and the part's number. The list contains those dependencies of a
@@ -48,6 +51,7 @@
             Key::Machine(id) => write!(f, "{ROOT}machine/{id}"),
             Key::JobBatch(name) => write!(f, "{ROOT}batch/{name}"),
             Key::RunChunk(id, chunk) => write!(f, "{ROOT}run/{id}/{chunk}"),
+            Key::JobLoans(id) => write!(f, "{ROOT}lent/{id}"),
             Key::Outcome(id) => write!(f, "{ROOT}end/{id}"),
             Key::DependencyListPart(name, number) => write!(f, "{ROOT}awaits/{name}/{number}"),
             Key::ZoneView(zone, shard) => write!(f, "{ROOT}zone/{zone}/{shard}"),
@@ -68,6 +72,7 @@
             Some(("fleet", name)) => Some(Key::MachineBatch(name.to_string())),
             Some(("machine", id)) => Some(Key::Machine(MachineId::new(id))),
             Some(("batch", name)) => Some(Key::JobBatch(name.to_string())),
+            Some(("lent", id)) => Some(Key::JobLoans(JobId::new(id))),
             Some(("end", id)) => Some(Key::Outcome(JobId::new(id))),
             Some(("awaits", rest)) => {
                 let (name, number) = rest.rsplit_once('/')?;
--- a/src/storage/schema/mod.rs
+++ b/src/storage/schema/mod.rs
@@ -7,6 +7,7 @@
 mod controllers;
 mod jobs;
 mod keys;
+mod loans;
 mod machines;
 mod outcomes;
 mod task_attempts;
@@ -15,6 +16,7 @@
 pub use controllers::{ControllerRecord, RecordVersion, Role, RoleRecord};
 pub use jobs::{DependencyListParts, JobBatchMember, JobRecord};
 pub use keys::{Key, ROOT};
+pub use loans::{TaskLoan, TaskLoans};
 pub use machines::{CordonReason, MachineBatchMember, MachineRecord};
 pub use outcomes::{Outcome, OutcomeRecord};
 pub use task_attempts::{RunChunk, TaskAttemptRecord, chunk_tasks};
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -6,6 +6,7 @@
 mod controllers;
 mod dependencies;
 mod fingerprint;
+mod lending;
 mod machines;
 mod mixed_scenarios;
 mod on_call;
