Tests in which executed and answered commands reach the machines again

The world's copies of calls to agents arrive within a minute after a call, answered or not; how many were answered, and whether any of them could start a task again, was neither aimed at nor counted. The testbed delivered none. Change: both stand-ins deliver commands again after their answer. The world counts copies that the agent accepts, and starts in them for attempts that have ended; controllers and machines are away for less than a second, tasks move, are preempted and cancelled in between. Every drawn plan of the soak repeats commands at half of the machines; no draw changes.

--- a/crates/testbed/src/agent/faults.rs
+++ b/crates/testbed/src/agent/faults.rs
@@ -23,6 +23,10 @@
     /// Direct commands get no response and are executed only when the fault ends.
     #[serde(rename = "LateCommands")]
     DelaysCommands,
+    /// Direct commands that were executed and answered reach the agent again, several times and late. Copies that are due
+    /// after the end of the fault still arrive.
+    #[serde(rename = "RepeatedCommands")]
+    RepeatsCommands,
 }
 
 struct ActiveFault {
--- a/crates/testbed/src/agent/mod.rs
+++ b/crates/testbed/src/agent/mod.rs
@@ -3,10 +3,12 @@
 //!
 //! * `faults`: faults injected into the agent;
 //! * `heartbeats`: heartbeats and the handling of their responses;
+//! * `repeated_commands`: late copies of direct commands that were executed and answered;
 //! * `tasks`: tasks and the commands that start and stop them.
 
 mod faults;
 mod heartbeats;
+mod repeated_commands;
 mod tasks;
 
 pub use faults::AgentFault;
@@ -154,5 +156,6 @@
     loop {
         tokio::time::sleep(STEP_INTERVAL).await;
         agent.step();
+        agent.execute_due_repeats();
     }
 }
--- a/crates/testbed/src/agent/tasks.rs
+++ b/crates/testbed/src/agent/tasks.rs
@@ -2,6 +2,7 @@
 
 use super::Agent;
 use super::faults::AgentFault;
+use super::repeated_commands::RepeatedCommands;
 use crate::history::Event;
 use crate::http::{ReceivedRequest, Reply};
 use burlhatch::protocol::agent::{AgentCommand, DirectCommands, ExitCause, TaskState};
@@ -40,6 +41,8 @@
     pub(super) has_unsent_changes: bool,
     /// The last time that a higher fencing token was treated as a change to report.
     token_changed_at: Option<Instant>,
+    /// Copies of executed direct commands that arrive later.
+    pub(super) repeats: Vec<RepeatedCommands>,
     /// Whether the machine has been deleted or lost.
     pub(super) has_terminated: bool,
 }
@@ -56,6 +59,7 @@
             images: BTreeSet::new(),
             has_unsent_changes: true,
             token_changed_at: None,
+            repeats: Vec::new(),
             has_terminated: false,
         }
     }
@@ -83,7 +87,11 @@
         let is_delayed = self.faults.has(AgentFault::DelaysCommands);
         self.faults.wait_until_ended(AgentFault::DelaysCommands).await;
         self.faults.wait_until_ended(AgentFault::Stalled).await;
-        self.handle_direct_commands(request).filter(|_| !is_delayed)
+        let reply = self.handle_direct_commands(request).filter(|_| !is_delayed);
+        if reply.as_ref().is_some_and(|(status, _)| *status == 200) {
+            self.schedule_repeats(request);
+        }
+        reply
     }
 
     fn handle_direct_commands(&self, request: &ReceivedRequest) -> Reply {
@@ -97,14 +105,20 @@
         if state.has_terminated {
             return None;
         }
+        let is_accepted = self.execute_if_current(&mut state, &message);
+        let heartbeat = self.heartbeat(&mut state, None);
+        let body = serde_json::to_value(&heartbeat).unwrap_or(Value::Null);
+        Some((if is_accepted { 200 } else { 409 }, body))
+    }
+
+    /// Executes commands if their fencing token and session match. Returns whether they do.
+    pub(super) fn execute_if_current(&self, state: &mut AgentState, message: &DirectCommands) -> bool {
         let is_accepted = message.fencing_token >= state.fencing_token && message.incarnation == state.incarnation;
         if is_accepted {
             state.update_fencing_token(message.fencing_token, self.environment.lease);
-            self.execute(&mut state, &message.commands);
+            self.execute(state, &message.commands);
         }
-        let heartbeat = self.heartbeat(&mut state, None);
-        let body = serde_json::to_value(&heartbeat).unwrap_or(Value::Null);
-        Some((if is_accepted { 200 } else { 409 }, body))
+        is_accepted
     }
 
     pub(super) fn execute(&self, state: &mut AgentState, commands: &[AgentCommand]) {
--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -69,6 +69,8 @@
 /// During [`Fault::LateWrites`], one in this many transactions is late.
 const LATE_TXN_INTERVAL: u64 = 4;
 const LATE_TXN_DELAY: Duration = Duration::from_secs(3);
+/// Direct commands are repeated at the agents of one in this many machines.
+const REPEATING_AGENTS_INTERVAL: usize = 2;
 /// Number of faults in a group, which overlap.
 const FAULTS_PER_GROUP: std::ops::RangeInclusive<usize> = 2..=3;
 /// Downtime of the first controller in a series of restarts; that of each further one is 300 ms longer. Restarts may
@@ -78,7 +80,8 @@
 const RESTART_SERIES_LENGTH: u64 = 4;
 const RESTART_SERIES_STEP_MS: u64 = 1500;
 
-/// Draws a plan: groups of two or three overlapping faults, some of them with a series of controller restarts.
+/// Draws a plan: groups of two or three overlapping faults, some of them with a series of controller restarts. Some
+/// agents receive their direct commands repeatedly all the time.
 pub fn draw_plan(seed: u64, span: Duration, lease: Duration, cancel_limit: Duration) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let [span_ms, lease_ms, cancel_ms] = [span, lease, cancel_limit].map(|duration| duration.as_millis() as u64);
@@ -95,6 +98,8 @@
         }
         group_at_ms += cancel_ms + rng.random_range(0..cancel_ms / 2);
     }
+    let repeats = Fault::Agents(REPEATING_AGENTS_INTERVAL, AgentFault::RepeatsCommands);
+    plan.push(PlannedFault { begins_at_ms: 0, duration_ms: span_ms, fault: repeats });
     plan.sort_by_key(|planned| planned.begins_at_ms);
     plan
 }
--- a/crates/testbed/src/history.rs
+++ b/crates/testbed/src/history.rs
@@ -24,6 +24,11 @@
         /// Whether the task ran to completion.
         done: bool,
     },
+    /// A machine has executed a copy of direct commands that it had executed and answered before.
+    CommandsRepeated {
+        /// The machine.
+        machine: String,
+    },
     /// A user received the status of a job.
     StatusReceived {
         /// The job.
@@ -155,6 +160,7 @@
                     self.summary.late.push(format!("{at} us: ran_cancelled: {task} was on {machine} until now"));
                 }
             }
+            Event::CommandsRepeated { .. } => {}
             Event::StatusReceived { .. } => {}
         }
     }
@@ -201,6 +207,7 @@
                     self.done.insert(task.clone());
                 }
             }
+            Event::CommandsRepeated { .. } => {}
             Event::StatusReceived { job, status, asked_us } => {
                 self.check_status(at, job, status, *asked_us, task_counts);
             }
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -78,6 +78,8 @@
     pub longest_ms: u64,
     /// Number of all task starts.
     pub begun: usize,
+    /// Number of accepted copies of direct commands that had been executed and answered before.
+    pub repeated: usize,
     /// Number of log lines about agents' leases that controllers did not renew because of cancelled tasks.
     pub withheld: usize,
     /// Number of log lines about machines that controllers deleted because of cancelled tasks.
@@ -130,6 +132,7 @@
         begun_after: cancellations.started_after,
         longest_ms: cancellations.longest_us / 1000,
         begun: events.iter().filter(|(_, event)| matches!(event, Event::TaskStarted { .. })).count(),
+        repeated: events.iter().filter(|(_, event)| matches!(event, Event::CommandsRepeated { .. })).count(),
         withheld: logs.matches(LEASE_WITHHELD_LOG).count(),
         deletions: logs.matches(DELETION_LOG).count(),
         ended: crashed,
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -10,6 +10,7 @@
 mod machines;
 mod mixed_scenarios;
 mod on_call;
+mod repeated_commands;
 mod shard_starvation;
 mod store_limits;
 mod upgrade;
--- a/tests/rules/world/agent.rs
+++ b/tests/rules/world/agent.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns whether the fencing token and the session of direct commands match.
+    pub(super) fn accepts(&self, commands: &DirectCommands) -> bool {
+        commands.fencing_token >= self.fencing_token && commands.incarnation == self.incarnation
+    }
+
     /// Adopts a higher fencing token and reports it at once, at most one time within half a lease.
     fn adopt_token(&mut self, fencing_token: FencingToken, now: u64, lease: u64) {
         if fencing_token <= self.fencing_token {
@@ -261,16 +266,16 @@
         id: MachineId,
         commands: DirectCommands,
     ) {
-        let (now, times) = (self.now, self.size.times);
-        let Some(agent) = self.agents.get_mut(&id) else { return };
+        let now = self.now;
+        let Some(agent) = self.agents.get(&id) else { return };
         if agent.hung_until > now {
             let rest = agent.hung_until - now;
             return self.schedule(rest, Event::DirectCommands { node, generation, call, machine: id, commands });
         }
-        let is_accepted = commands.fencing_token >= agent.fencing_token && commands.incarnation == agent.incarnation;
+        let is_accepted = agent.accepts(&commands);
         if is_accepted {
-            agent.adopt_token(commands.fencing_token, now, times.lease);
-            self.execute_commands(&id, &commands.commands);
+            self.execute_direct_commands(&id, &commands);
+            self.commands_executed(call, &id, &commands);
         }
         let Some(agent) = self.agents.get_mut(&id) else { return };
         let heartbeat = agent.heartbeat(&id);
@@ -292,6 +297,15 @@
         }
     }
 
+    /// Executes direct commands that the agent accepts.
+    pub(super) fn execute_direct_commands(&mut self, id: &MachineId, commands: &DirectCommands) {
+        let (now, lease) = (self.now, self.size.times.lease);
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.adopt_token(commands.fencing_token, now, lease);
+        }
+        self.execute_commands(id, &commands.commands);
+    }
+
     fn execute_commands(&mut self, id: &MachineId, commands: &[AgentCommand]) {
         for command in commands {
             match command {
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -10,6 +10,7 @@
 mod fingerprint;
 mod network;
 mod records;
+mod repeated_commands;
 mod start_rules;
 mod store;
 mod task_lifecycle;
@@ -30,6 +31,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use records::Records;
+use repeated_commands::RepeatedCommands;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
@@ -148,6 +150,10 @@
         number: u64,
         message: CancellationNotice,
     },
+    RepeatedCommands {
+        machine: MachineId,
+        commands: DirectCommands,
+    },
     WatchEnds {
         call: u64,
     },
@@ -235,6 +241,8 @@
     late_writes: (u64, u32),
     /// Restricts `late_writes` to the transactions of this controller.
     late_writer: Option<usize>,
+    /// Direct commands that arrive again after they were executed and answered.
+    pub repeated_commands: RepeatedCommands,
     /// Delays of direct commands, if some are delayed: the sender gets no answer, and the agent executes them once.
     late_commands: Option<LateCommands>,
     /// Until the first value, each packet is delayed by up to the second value more.
@@ -309,6 +317,7 @@
             heartbeat_copies: 30,
             late_writes: (0, 1),
             late_writer: None,
+            repeated_commands: RepeatedCommands::default(),
             late_commands: None,
             slow: (0, 0),
             late_answers: (0, 1),
@@ -390,6 +399,7 @@
             Event::Thaw(node, generation) => self.thaw(node, generation),
             Event::Outcome { node, generation, call, input } => {
                 if self.open_calls.remove(&call).is_some() && self.nodes[node].generation == generation {
+                    self.commands_answered(call, &input);
                     self.deliver_input(node, input);
                 }
             }
@@ -412,6 +422,7 @@
             Event::DirectCommands { node, generation, call, machine, commands } => {
                 self.agent_commands(node, generation, call, machine, commands);
             }
+            Event::RepeatedCommands { machine, commands } => self.repeated_commands_arrive(machine, commands),
             Event::Heartbeat { node, heartbeat, serial } => self.heartbeat_arrives(node, heartbeat, serial),
             Event::HeartbeatAnswer { machine, serial, answer } => self.heartbeat_answer(machine, serial, answer),
             Event::AgentHeartbeat { machine, wake } => self.agent_heartbeat(machine, wake),
