The prediction for a machine visits jobs, not all attempts there

Cause: after each placed task the prediction for its machine walked over all attempts on it, to find images that are still to be fetched: the square of the number of tasks on a machine. Change: usage counts the attempts that no heartbeat has shown yet, by machine and job; the prediction visits these jobs. The model test compares the counts with a recount.

--- a/src/coordination/jobs/attempt.rs
+++ b/src/coordination/jobs/attempt.rs
@@ -30,6 +30,11 @@
         !matches!(self, AttemptState::Ended(_) | AttemptState::ProvenAbsent)
     }
 
+    /// Whether no heartbeat has shown it on its machine yet.
+    pub fn is_unreported(self) -> bool {
+        matches!(self, AttemptState::Decided | AttemptState::Recorded)
+    }
+
     /// Whether a heartbeat has shown it on its machine, and none that it has ended.
     pub fn is_on_machine(self) -> bool {
         matches!(
--- a/src/coordination/jobs/job_attempts.rs
+++ b/src/coordination/jobs/job_attempts.rs
@@ -108,6 +108,9 @@
             self.occupying_count += 1;
             usage.occupy(&self.class, attempt.machine());
         }
+        if attempt.state().is_unreported() {
+            usage.add_unreported(attempt.machine(), &self.job);
+        }
         self.decided_count += u32::from(attempt.state() == AttemptState::Decided);
         self.by_task.insert(task, attempt);
     }
@@ -120,6 +123,9 @@
             self.occupying_count -= 1;
             usage.release(&self.class, attempt.machine());
         }
+        if attempt.state().is_unreported() {
+            usage.remove_unreported(attempt.machine(), &self.job);
+        }
         self.decided_count -= u32::from(attempt.state() == AttemptState::Decided);
         usage.remove_attempt(attempt.machine(), &self.task_id(task));
         Some(attempt)
@@ -134,6 +140,11 @@
         }
         self.decided_count += u32::from(state == AttemptState::Decided);
         self.decided_count -= u32::from(before == AttemptState::Decided);
+        match (before.is_unreported(), state.is_unreported()) {
+            (true, false) => usage.remove_unreported(attempt.machine(), &self.job),
+            (false, true) => usage.add_unreported(attempt.machine(), &self.job),
+            (true, true) | (false, false) => {}
+        }
         match (before.occupies_resources(), state.occupies_resources()) {
             (true, false) => {
                 self.occupying_count -= 1;
--- a/src/coordination/jobs/usage.rs
+++ b/src/coordination/jobs/usage.rs
@@ -5,12 +5,14 @@
 
 use crate::coordination::jobs::job_attempts::AttemptClass;
 use crate::types::{JobId, MachineId, Resources, TaskId};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The recorded and decided attempts on one machine, and the resources that they take.
 #[derive(Debug, Default, PartialEq)]
 pub struct MachineUsage {
     attempts: BTreeSet<TaskId>,
+    /// Number of attempts of each job that no heartbeat has reported yet, for jobs with any.
+    unreported: BTreeMap<JobId, u32>,
     resources: Resources,
     occupying_count: u32,
     service_count: u32,
@@ -48,6 +50,11 @@
         self.machines.get(machine).into_iter().flat_map(MachineUsage::attempts)
     }
 
+    /// Iterates over the jobs with an attempt on the machine that no heartbeat has reported yet, in the order of their ids.
+    pub fn iter_unreported_jobs_on(&self, machine: &MachineId) -> impl Iterator<Item = &JobId> {
+        self.machines.get(machine).into_iter().flat_map(|usage| usage.unreported.keys())
+    }
+
     /// Returns a copy of the list of attempts on a machine, for loops that change the attempts.
     pub fn attempts_on(&self, machine: &MachineId) -> Vec<TaskId> {
         self.machines.get(machine).map(|usage| usage.attempts.iter().cloned().collect()).unwrap_or_default()
@@ -101,6 +108,22 @@
         self.changed_jobs.remove(job);
     }
 
+    /// Counts an attempt that no heartbeat has reported yet.
+    pub(super) fn add_unreported(&mut self, machine: &MachineId, job: &JobId) {
+        let usage = self.machines.entry(machine.clone()).or_default();
+        *usage.unreported.entry(job.clone()).or_default() += 1;
+    }
+
+    /// Subtracts an attempt that was reported or removed.
+    pub(super) fn remove_unreported(&mut self, machine: &MachineId, job: &JobId) {
+        let Some(usage) = self.machines.get_mut(machine) else { return };
+        let Some(count) = usage.unreported.get_mut(job) else { return };
+        *count -= 1;
+        if *count == 0 {
+            usage.unreported.remove(job);
+        }
+    }
+
     pub(super) fn add_attempt(&mut self, machine: &MachineId, task: TaskId) {
         self.machines.entry(machine.clone()).or_default().attempts.insert(task);
     }
--- a/src/coordination/scheduling/placement.rs
+++ b/src/coordination/scheduling/placement.rs
@@ -3,7 +3,6 @@
 
 use crate::coordination::Controller;
 use crate::coordination::fleet::machine::Machine;
-use crate::coordination::jobs::attempt::AttemptState;
 use crate::coordination::jobs::job::Job;
 use crate::coordination::scheduling::shard_view::CandidateMachine;
 use crate::types::{MachineId, Micros};
@@ -97,13 +96,10 @@
             pending.push(PendingFetch { image: &fetch.image, megabytes: left.max(0.0) });
         }
         // Adds the images of attempts that are decided or recorded and whose fetch no heartbeat has reported yet.
-        for task in self.jobs.usage().iter_attempts_on(id) {
-            let Some(job) = self.jobs.get(&task.job) else { continue };
-            let attempt = job.attempts.get(task.index);
-            let is_unreported =
-                attempt.is_some_and(|a| matches!(a.state(), AttemptState::Decided | AttemptState::Recorded));
+        for id in self.jobs.usage().iter_unreported_jobs_on(id) {
+            let Some(job) = self.jobs.get(id) else { continue };
             let image = job.spec.image.as_str();
-            if is_unreported && !machine.has_image(image) && !pending.iter().any(|fetch| fetch.image == image) {
+            if !machine.has_image(image) && !pending.iter().any(|fetch| fetch.image == image) {
                 pending.push(PendingFetch { image, megabytes: job.spec.image_gb * MEGABYTES_PER_GB });
             }
         }
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -270,6 +270,10 @@
                 let tasks: Vec<TaskId> =
                     on_machine().map(|((j, t), _)| TaskId { job: names[*j].clone(), index: *t }).collect();
                 prop_assert_eq!(usage.attempts_on(machine), tasks);
+                // Guards against review case 4: each placement walked over all attempts on the machine.
+                let unreported = on_machine().filter(|(_, at)| at.1.is_unreported());
+                let jobs: BTreeSet<&JobId> = unreported.map(|((j, _), _)| &names[*j]).collect();
+                prop_assert_eq!(usage.iter_unreported_jobs_on(machine).collect::<Vec<_>>(), Vec::from_iter(jobs));
             }
             for team in 0..2 {
                 let of_team = model.iter().filter(|((j, _), at)| j % 2 == team && at.1.occupies_resources());
