Walks over chunks, waiting and exited tasks don't multiply

Cause: reading a job's records counted its done tasks once for each chunk over all chunks, and walked over all tasks that wait for a restart for each chunk; a report with many exited tasks searched each of them in the list of the report before. Change: done tasks are counted once for each reading, waiting tasks by the range of the chunk, superseded attempts by a set. The time of these walks alone was not measured.

--- a/src/coordination/fleet/machine/unrecorded_tasks.rs
+++ b/src/coordination/fleet/machine/unrecorded_tasks.rs
@@ -1,5 +1,7 @@
 //! Tasks on a machine that are not in the stored records. They are stopped, and then forgotten by the agent.
 
+use std::collections::HashSet;
+
 /// A task on a machine that is not in the stored records.
 #[derive(Clone, Debug)]
 pub(crate) struct UnrecordedTask {
@@ -27,6 +29,8 @@
 #[derive(Default)]
 pub(crate) struct UnrecordedTasks {
     tasks: Vec<UnrecordedTask>,
+    /// The attempts among them that are superseded, by task and number.
+    superseded: HashSet<(String, u64)>,
     retained_exited_count: usize,
 }
 
@@ -43,17 +47,20 @@
 
     /// Returns whether all commands that could start an attempt are known to be superseded.
     pub(crate) fn is_superseded(&self, task: &str, attempt: u64) -> bool {
-        self.tasks.iter().any(|known| known.is_superseded && known.attempt == attempt && known.task == task)
+        self.superseded.contains(&(task.to_owned(), attempt))
     }
 
     /// Replaces the tasks by those of the agent's newest message.
     pub(crate) fn replace(&mut self, tasks: Vec<UnrecordedTask>) {
         self.retained_exited_count = tasks.iter().filter(|task| task.has_exited && !task.may_be_forgotten()).count();
+        let superseded = tasks.iter().filter(|task| task.is_superseded);
+        self.superseded = superseded.map(|task| (task.task.clone(), task.attempt)).collect();
         self.tasks = tasks;
     }
 
     /// Removes all tasks, when the agent has a new incarnation or the machine a new owner.
     pub(crate) fn clear(&mut self) {
         self.tasks.clear();
+        self.superseded.clear();
     }
 }
--- a/src/coordination/jobs/progress.rs
+++ b/src/coordination/jobs/progress.rs
@@ -108,12 +108,19 @@
 
     /// Updates the tasks of one chunk from its stored record. `is_recorded` returns whether any chunk mentions a task.
     pub(super) fn reconcile(&mut self, chunk: &RunChunk, tasks: Range<u32>, is_recorded: impl Fn(u32) -> bool) {
-        self.unrecorded_done.retain(|task| !tasks.contains(task) || !chunk.is_done(*task));
+        let recorded_done: Vec<u32> =
+            self.unrecorded_done.range(tasks.clone()).copied().filter(|task| chunk.is_done(*task)).collect();
+        for task in recorded_done {
+            self.unrecorded_done.remove(&task);
+        }
         let first_unstarted = self.first_unstarted.max(chunk.first_unstarted_task());
         self.to_restart.extend((self.first_unstarted..first_unstarted).filter(|task| !is_recorded(*task)));
         self.first_unstarted = first_unstarted;
         let recorded = chunk.attempts_by_task();
         let is_settled = |task: &u32| recorded.contains_key(task) || chunk.is_done(*task);
-        self.to_restart.retain(|task| !tasks.contains(task) || !is_settled(task));
+        let settled: Vec<u32> = self.to_restart.range(tasks).copied().filter(is_settled).collect();
+        for task in settled {
+            self.to_restart.remove(&task);
+        }
     }
 }
--- a/src/coordination/jobs/reconciliation.rs
+++ b/src/coordination/jobs/reconciliation.rs
@@ -147,6 +147,7 @@
         for chunk in chunks {
             self.reconcile_tasks_of_chunk(id, chunk);
         }
+        self.count_done_tasks(id);
         self.remove_if_settled(id);
     }
 
@@ -154,6 +155,7 @@
     pub(crate) fn reconcile_chunk(&mut self, id: &JobId, chunk: u32) {
         if self.reconcile_job_record(id) {
             self.reconcile_tasks_of_chunk(id, chunk);
+            self.count_done_tasks(id);
             self.remove_if_settled(id);
         }
     }
@@ -231,7 +233,6 @@
         let empty = RunChunk::default();
         let chunk = chunks.get(&number).map_or(&empty, |stored| &stored.value);
         let tasks = number * size..(number + 1).saturating_mul(size);
-        job.progress.done_count = chunks.values().map(|stored| stored.value.done_count()).sum();
         let is_recorded =
             |task: u32| chunks.get(&(task / size)).is_some_and(|stored| stored.value.is_task_recorded(task));
         let machines = job.reconcile_chunk(chunk, tasks.clone(), is_recorded, &mut self.jobs.usage);
@@ -248,6 +249,13 @@
         }
     }
 
+    /// Counts the tasks that the job's chunks record as done. Takes a walk over all chunks.
+    fn count_done_tasks(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.by_id.get_mut(id) else { return };
+        let chunks = self.store.replica.run_chunks.get(id).into_iter().flat_map(BTreeMap::values);
+        job.progress.done_count = chunks.map(|stored| stored.value.done_count()).sum();
+    }
+
     /// Resets the jobs of a shard that was acquired or lost, as the states of their attempts are no longer valid.
     pub(crate) fn reset_shard_jobs(&mut self, shard: u32) {
         for job in self.jobs.by_id.values_mut().filter(|job| job.is_in_shard(shard)) {
