The search for tasks to lend is bounded by the room found

Cause: it listed all waiting tasks of a job and assigned them one by one, whatever room there was. Change: it lists as many as there is room for, steps over lent ranges, and assigns runs of consecutive tasks.

--- a/src/coordination/jobs/task_shards.rs
+++ b/src/coordination/jobs/task_shards.rs
@@ -117,8 +117,15 @@
     /// Returns up to `count` tasks that wait for an attempt in a shard, in ascending order.
     pub(crate) fn waiting_tasks_in(&self, shard: u32, count: usize) -> Vec<u32> {
         let restarts = self.progress.to_restart.iter().copied();
-        let unstarted = self.progress.first_unstarted..self.spec.tasks;
-        restarts.chain(unstarted).filter(|task| self.shard_of_task(*task) == shard).take(count).collect()
+        let mut tasks: Vec<u32> = restarts.filter(|task| self.shard_of_task(*task) == shard).take(count).collect();
+        let mut next = self.progress.first_unstarted;
+        while tasks.len() < count
+            && let Some(task) = self.first_task_in_shard(shard, next..self.spec.tasks)
+        {
+            tasks.push(task);
+            next = task + 1;
+        }
+        tasks
     }
 
     /// Whether no task of a range will ever start again: each has had an attempt and is done.
--- a/src/coordination/scheduling/lending.rs
+++ b/src/coordination/scheduling/lending.rs
@@ -20,6 +20,7 @@
 use crate::storage::schema::{Key, Role, TaskLoans, to_value};
 use crate::types::{JobId, Micros};
 use std::collections::BTreeSet;
+use std::ops::Range;
 
 /// Interval between two searches for tasks to be lent.
 const LENDING_INTERVAL: Micros = Micros::from_millis(1000);
@@ -46,14 +47,26 @@
         loans.ranges.retain(|loan| !self.are_tasks_done(loan.tasks()));
         for loan in new {
             let to_shard = (loan.to_shard != self.home_shard).then_some(loan.to_shard);
-            for task in &loan.tasks {
-                loans.assign(*task..*task + 1, to_shard);
+            for run in consecutive_runs(&loan.tasks) {
+                loans.assign(run, to_shard);
             }
         }
         loans
     }
 }
 
+/// Returns ascending tasks as ranges of consecutive ones.
+fn consecutive_runs(tasks: &[u32]) -> Vec<Range<u32>> {
+    let mut runs: Vec<Range<u32>> = Vec::new();
+    for task in tasks {
+        match runs.last_mut() {
+            Some(run) if run.end == *task => run.end += 1,
+            _ => runs.push(*task..*task + 1),
+        }
+    }
+    runs
+}
+
 impl Controller {
     /// Lends tasks that have waited for `lend_after_ms` in a shard held by this controller to shards with room.
     pub(crate) fn lend_waiting_tasks(&mut self) {
@@ -154,10 +167,12 @@
     fn loans_of_tasks(&self, job: &Job, from_shard: u32, wanted: u64, capacity: &mut CapacityByShard) -> Vec<NewLoan> {
         let now = self.now();
         let may_start = |task: &u32| job.progress.retry_at.get(task).is_none_or(|at| *at <= now);
-        let waiting = job.waiting_tasks_in(from_shard, wanted as usize);
+        let rooms = self.shards_by_room(job, from_shard, wanted, capacity);
+        let total_room: u64 = rooms.iter().map(|(_, room)| room.task_count).sum();
+        let waiting = job.waiting_tasks_in(from_shard, wanted.min(total_room) as usize);
         let mut tasks: Vec<u32> = waiting.into_iter().filter(may_start).collect();
         let mut loans = Vec::new();
-        for (to_shard, room) in self.shards_by_room(job, from_shard, tasks.len() as u64, capacity) {
+        for (to_shard, room) in rooms {
             let taken = (room.task_count as usize).min(tasks.len());
             if taken == 0 {
                 break;
