Tests of lent ranges against a list of tasks, and of who may lend

Cause: the ranges were tested only through the worlds, the condition on record versions only in upgrades. Change: a property test of TaskLoans and its stored form, and a test of may_lend_tasks.

--- a/tests/model.rs
+++ b/tests/model.rs
@@ -11,7 +11,7 @@
 use burlhatch::protocol::store::{Event, Precondition, Txn, Write};
 use burlhatch::protocol::user::{JobKind, JobSpec, Priority};
 use burlhatch::storage::Replica;
-use burlhatch::storage::schema::{Key, Outcome, RunChunk, TaskAttemptRecord, to_value};
+use burlhatch::storage::schema::{Key, Outcome, RunChunk, TaskAttemptRecord, TaskLoans, from_value, to_value};
 use burlhatch::transport::rate_limit::{CallPriority, TokenBucket};
 use burlhatch::types::{JobId, MachineId, Micros, Resources, Revision, TaskId};
 use proptest::prelude::*;
@@ -472,6 +472,25 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(13), ..ProptestConfig::with_cases(300) })]
+
+    /// Compares the ranges of lent tasks with a list of the shard of each task, also after they were stored.
+    #[test]
+    fn lent_ranges_equal_a_list_of_tasks(steps in prop::collection::vec((0u32..40, 0u32..12, prop::option::of(0u32..3)), 1..30)) {
+        let mut loans = TaskLoans::default();
+        let mut model: Vec<Option<u32>> = vec![None; 60];
+        for (first, count, shard) in steps {
+            loans.assign(first..first + count, shard);
+            model[first as usize..(first + count) as usize].fill(shard);
+            let stored: TaskLoans = from_value(&to_value(&loans)).expect("loans");
+            prop_assert_eq!(&stored, &loans);
+            prop_assert_eq!((0..60).map(|task| stored.shard_of(task)).collect::<Vec<_>>(), model.clone());
+            prop_assert!(loans.ranges.windows(2).all(|pair| pair[0].end <= pair[1].first && pair[0] != pair[1]));
+        }
+    }
+}
+
 fn any_txn() -> impl Strategy<Value = Txn> {
     let key = "[a-z0-9/\"é]{1,40}";
     let value = prop_oneof![
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -1,12 +1,14 @@
-//! Which controller moves machines out of a shard, depending on the record versions in the roles of the replica.
+//! What the record versions in the roles of the replica permit: which controller moves machines out of a shard, and
+//! whether tasks are lent.
 
-use burlhatch::coordination::control::versions::{Mover, leader_delegates_moves, mover};
+use burlhatch::coordination::control::versions::{Mover, leader_delegates_moves, may_lend_tasks, mover};
 use burlhatch::storage::Replica;
 use burlhatch::storage::schema::{Key, RecordVersion, Role, RoleRecord, to_value};
 use burlhatch::types::FencingToken;
 
 const FIRST: RecordVersion = RecordVersion::FIRST;
 const LATER: RecordVersion = RecordVersion(1);
+const LENDING: RecordVersion = RecordVersion(2);
 
 fn replica(leader: Option<RecordVersion>, holder: Option<RecordVersion>) -> Replica {
     let mut replica = Replica::default();
@@ -43,3 +45,12 @@
     assert!(!leader_delegates_moves(&replica(Some(LATER), None), FIRST));
     assert!(!leader_delegates_moves(&replica(None, None), FIRST));
 }
+
+/// A controller that doesn't follow the loans would start lent tasks itself.
+#[test]
+fn tasks_are_lent_only_if_every_holder_and_this_controller_follow_the_loans() {
+    assert!(may_lend_tasks(&replica(Some(LENDING), Some(LENDING)), LENDING));
+    assert!(!may_lend_tasks(&replica(Some(LATER), Some(LENDING)), LENDING));
+    assert!(!may_lend_tasks(&replica(Some(LENDING), Some(LATER)), LENDING));
+    assert!(!may_lend_tasks(&replica(Some(LENDING), Some(LENDING)), LATER));
+}
